--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,106 @@
+"""Runs the main job end to end on stand-ins, with faults, and checks the promises on both sides."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import fleet as fleets
+
+KEYS = {"team-0": "key-of-team-0", "team-1": "key-of-team-1"}
+LIMITS = {"team-0": 12, "team-1": 6}
+ZONES = ["suva-1", "suva-2"]
+ZONE_OUT_GRACE_MS = 2000
+
+
+def step(text):
+    print(f"demo: {text}", flush=True)
+
+
+def grant_keys(fleet, directory):
+    for team, key in KEYS.items():
+        path = pathlib.Path(directory) / f"{team}.key"
+        path.write_text(key)
+        code, output = fleet.operate("key", "grant", f"{team}-till", team, "--key-file", str(path),
+                                     "--asker", "demo", "--timeout-ms", "12000")
+        if code != 0:
+            raise RuntimeError(output)
+
+
+def start_callers(fleet, duration_ms):
+    command = [fleets.STAND_IN, "callers", "--quick", "price", "--order", "book",
+               "--per-second", "150", "--duration-ms", str(duration_ms)]
+    for address in fleet.addresses.values():
+        command += ["--entry", address["callers"]]
+    for zone in ZONES:
+        command += ["--zone", zone]
+    for key in KEYS.values():
+        command += ["--key", key]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def operate(fleet, *arguments):
+    code, output = fleet.operate(*arguments, "--asker", "demo")
+    step(f"{' '.join(arguments)}: exit {code}: {output.strip().splitlines()[-1]}")
+    return code
+
+
+def run(directory):
+    fleet = fleets.Fleet(directory, ZONES, 2)
+    try:
+        for runner in ("r1", "r2", "r3", "r4"):
+            fleet.start_runner(runner)
+        for name in fleet.addresses:
+            fleet.start_entry(name)
+        for name in fleet.addresses:
+            fleet.await_ready(name)
+        step("4 entries in 2 zones are ready")
+        code, output = fleet.operate("rules", "publish", str(fleets.ROOT / "demo" / "rules.txt"))
+        step(f"rules publish: exit {code}: {output.strip()}")
+        grant_keys(fleet, directory)
+        callers = start_callers(fleet, 14_000)
+        time.sleep(2.5)
+        step("entry-2 is killed")
+        fleet.kill("entry-2")
+        time.sleep(2)
+        step("entry-2 is replaced")
+        fleet.start_entry("entry-2")
+        time.sleep(1.5)
+        out_code = operate(fleet, "zone", "out", "suva-2")
+        out_at = time.monotonic_ns() // 1_000_000
+        time.sleep(3.5)
+        in_at = time.monotonic_ns() // 1_000_000
+        in_code = operate(fleet, "zone", "in", "suva-2")
+        time.sleep(1)
+        step("entry-3 is stopped as planned")
+        stop_code = fleet.kill("entry-3", 15)
+        output, _ = callers.communicate(timeout=30)
+        return judge(json.loads(output), fleet.journals(), out_at, in_at, stop_code)
+    finally:
+        fleet.close()
+
+
+def judge(callers, journals, out_at, in_at, stop_code):
+    orders = tuple(f"{zone}/" for zone in ZONES)
+    doubled = fleets.count_doubled(journals, orders)
+    ran = {run["id"] for journal in journals.values() for run in journal}
+    false_not_run = [i for i in callers["not_run_ids"] if i.startswith(orders) and i in ran]
+    over_limit = sum(max(0, fleets.most_at_once(journals, team) - limit) for team, limit in LIMITS.items())
+    late = [run for name in ("r2", "r4") for run in journals[name]
+            if out_at + ZONE_OUT_GRACE_MS < run["start_ms"] < in_at]
+    unseen = [i for i in callers["answered_ids"] if i not in ran]
+    print(f"demo: answered={callers['answered']} refused_not_run={callers['refused_not_run']} "
+          f"unknown={callers['unknown']} lost={callers['lost']} doubled={len(doubled)} "
+          f"over_limit={over_limit}")
+    print(f"demo: mismatched={callers['mismatched']} false_not_run={len(false_not_run)} "
+          f"started_in_zone_out={len(late)} answered_but_not_run={len(unseen)} planned_stop_exit={stop_code}")
+    broken = (callers["lost"] + len(doubled) + over_limit + callers["mismatched"] + len(false_not_run)
+              + len(late) + len(unseen) + stop_code)
+    return 0 if broken == 0 and callers["answered"] > 0 else 1
+
+
+if __name__ == "__main__":
+    with tempfile.TemporaryDirectory() as scratch:
+        sys.exit(run(scratch))
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,160 @@
+"""Starts stand-ins and entries as processes on loopback and talks to them. Used by the demo and by
+the tests that need real processes."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("PERIDOTWALK_BUILD", ROOT / "build"))
+BINARY = str(BUILD / "peridotwalk")
+STAND_IN = str(BUILD / "peridotwalk-stand-in")
+
+# Short times, so that a lost entry is evicted while the demo runs.
+TIMES = {
+    "membership": {
+        "heartbeat_ms": 100, "suspect_after_ms": 1000, "fence_log_ms": 3000, "evict_grace_ms": 6000,
+        "fence_peers_ms": 20000, "evict_unheard_ms": 30000, "max_run_ms": 2000,
+    },
+    "tasks": {"lease_ms": 1500, "renew_ms": 400},
+}
+
+
+def free_ports(count):
+    """Returns ports that were free a moment ago."""
+    output = subprocess.run([STAND_IN, "ports", str(count)], check=True, capture_output=True, text=True)
+    return [int(line) for line in output.stdout.split()]
+
+
+def call(address, path, body=None, timeout=5):
+    """Returns the parsed JSON answer of GET or POST."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data)
+    with urllib.request.urlopen(request, timeout=timeout) as answer:
+        return json.load(answer)
+
+
+class Fleet:
+    """All processes of one run. Ends those it started, by their process ids."""
+
+    def __init__(self, directory, zones, entries_per_zone, settings=None):
+        self.directory = pathlib.Path(directory)
+        self.processes = {}
+        self.logs = []
+        self.settings = settings or {}
+        names = [f"entry-{i + 1}" for i in range(len(zones) * entries_per_zone)]
+        ports = free_ports(1 + 3 * len(names))
+        self.platform = f"127.0.0.1:{ports[0]}"
+        self.zone_of = {name: zones[i // entries_per_zone] for i, name in enumerate(names)}
+        self.addresses = {
+            name: {kind: f"127.0.0.1:{ports[1 + 3 * i + j]}"
+                   for j, kind in enumerate(("callers", "operators", "peers"))}
+            for i, name in enumerate(names)
+        }
+        self.runners = {}
+        self.start("platform", [STAND_IN, "platform", "--listen", self.platform])
+        self.wait_for(self.platform, "/health")
+
+    def start(self, name, command):
+        log = open(self.directory / f"{name}.log", "ab")
+        self.logs.append(log)
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def wait_for(self, address, path, seconds=15):
+        """Waits until the address answers the path with status 200."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            try:
+                with urllib.request.urlopen(f"http://{address}{path}", timeout=1):
+                    return
+            except OSError:
+                time.sleep(0.05)
+        raise RuntimeError(f"{address}{path} doesn't answer")
+
+    def start_runner(self, name, kind="runner"):
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.start(name, [STAND_IN, kind, "--listen", address, "--name", name])
+        self.wait_for(address, "/health")
+        self.runners[name] = address
+        self.list_instance(name, address, "live")
+
+    def list_instance(self, name, address, state):
+        call(self.platform, "/control", {"instance": {"name": name, "address": address, "state": state}})
+
+    def write_settings(self, name):
+        path = self.directory / f"{name}.json"
+        settings = {
+            "name": name, "zone": self.zone_of[name], "rack": f"rack-{name}",
+            "listen": self.addresses[name],
+            "platform": {"log": self.platform, "instances": self.platform,
+                         "log_poll_ms": 50, "list_poll_ms": 100, "timeout_ms": 1000},
+            "peers": [a["peers"] for other, a in self.addresses.items() if other != name],
+            **TIMES, **self.settings,
+        }
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
+    def start_entry(self, name):
+        self.start(name, [BINARY, "entry", "--settings", str(self.write_settings(name))])
+
+    def await_ready(self, name):
+        self.wait_for(self.addresses[name]["callers"], "/ready")
+
+    def operate(self, *arguments, entry=None):
+        """Runs an operators' command and returns its exit code and output."""
+        entries = [entry] if entry else list(self.addresses)
+        command = [BINARY, *arguments]
+        for name in entries:
+            command += ["--entry", self.addresses[name]["operators"]]
+        done = subprocess.run(command, capture_output=True, text=True)
+        return done.returncode, done.stdout + done.stderr
+
+    def status(self, name):
+        return call(self.addresses[name]["operators"], "/v1/status")
+
+    def journals(self):
+        """Returns what ran at each runner."""
+        return {name: call(address, "/journal") for name, address in self.runners.items()}
+
+    def kill(self, name, number=signal.SIGKILL):
+        self.processes[name].send_signal(number)
+        if number != signal.SIGSTOP and number != signal.SIGCONT:
+            return self.processes[name].wait(timeout=40)
+        return None
+
+    def close(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        for log in self.logs:
+            log.close()
+
+
+def count_doubled(journals, prefix):
+    """Returns the ids with the prefix that ran more than once."""
+    seen, doubled = set(), set()
+    for journal in journals.values():
+        for run in journal:
+            if run["id"].startswith(prefix):
+                (doubled if run["id"] in seen else seen).add(run["id"])
+    return doubled
+
+
+def most_at_once(journals, team):
+    """Returns the most requests of a team that ran at the same time, over all runners."""
+    events = []
+    for journal in journals.values():
+        for run in journal:
+            if run["team"] == team:
+                events.append((run["start_ms"], 1))
+                events.append((run["end_ms"] if run["end_ms"] is not None else 1 << 62, -1))
+    running = most = 0
+    for _, step in sorted(events, key=lambda event: (event[0], event[1])):
+        running += step
+        most = max(most, running)
+    return most
--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,98 @@
+// Types, errors and hashing that every library here uses.
+//
+// Index of this file
+// [SECTION] Time and identity
+// [SECTION] Outcomes and refusals
+// [SECTION] Errors
+// [SECTION] Hashing
+// [SECTION] Text
+
+#pragma once
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Time and identity
+//-----------------------------------------------------------------------------
+
+using TimeMs = std::int64_t; // Milliseconds of a monotonic clock unless a name says wall clock.
+using Offset = std::int64_t; // Position in the platform's log. The first record has offset 1.
+
+// Identifies one life of one entry. A restarted entry gets a new value and inherits nothing.
+// Shape: "name#random", for example "entry-1#5f0c2a".
+using Incarnation = std::string;
+
+// Returns the part of an incarnation before '#'.
+auto entryName(std::string_view incarnation) -> std::string_view;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Outcomes and refusals
+//-----------------------------------------------------------------------------
+
+// What a caller can rely on after an answer.
+enum class Outcome {
+    Answered, // The target's whole answer is attached.
+    NotRun,   // Nothing was started, and nothing will be. Sending the request again is safe.
+    Unknown,  // The request may have run. A request that must not repeat has to be reconciled.
+};
+
+// Returns "answered", "not-run" or "unknown".
+auto outcomeName(Outcome outcome) -> std::string_view;
+
+// Why a request got no answer.
+struct Refusal {
+    Outcome     outcome = Outcome::NotRun;
+    std::string step = {};        // Where it arose: "key", "limit", "queue", "claim", "start", ...
+    std::string peer = {};        // The entry, target or team concerned. May be empty.
+    std::string reason = {};      // One sentence for a person.
+    TimeMs      retryAfterMs = 0; // When sending again is worth it. 0: sending again won't help.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Errors
+//-----------------------------------------------------------------------------
+
+// Makes an error that carries the step and the peer at which it arose.
+//   return makeError(absl::StatusCode::kUnavailable, "log.read", "127.0.0.1:7000", "timeout");
+auto makeError(absl::StatusCode code, std::string_view step, std::string_view peer,
+               std::string_view reason) -> absl::Status;
+
+// Returns the step given to makeError(), or an empty string.
+auto errorStep(const absl::Status &status) -> std::string;
+
+// Returns the peer given to makeError(), or an empty string.
+auto errorPeer(const absl::Status &status) -> std::string;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Hashing
+//-----------------------------------------------------------------------------
+
+// Returns the SHA-256 of a team key as 64 lower-case hexadecimal digits.
+auto hashKey(std::string_view key) -> std::string;
+
+// Compares without revealing through timing where two texts differ.
+auto equalsConstantTime(std::string_view left, std::string_view right) -> bool;
+
+// Returns a stable 64-bit hash. Equal on all machines, so it may decide placement.
+auto stableHash(std::string_view text, std::uint64_t seed = 0) -> std::uint64_t;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Text
+//-----------------------------------------------------------------------------
+
+// Splits at each separator. Empty parts are kept.
+auto splitText(std::string_view text, char separator) -> std::vector<std::string_view>;
+
+// Parses a whole decimal number. Returns nothing on any other character or on overflow.
+auto parseInteger(std::string_view text) -> std::optional<std::int64_t>;
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/claims/claims.cpp
@@ -0,0 +1,325 @@
+#include "claims/claims.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr std::size_t kUuidLength = 36;
+constexpr std::size_t kUuidVersionAt = 14;
+constexpr std::size_t kUuidTimeHighLen = 8;
+constexpr std::size_t kUuidTimeLowLen = 4;
+
+auto badId(std::string_view id, std::string_view reason) -> absl::Status
+{
+    return makeError(absl::StatusCode::kInvalidArgument, "request-id", id.substr(0, 80), reason);
+}
+
+auto isUuid(std::string_view text) -> bool
+{
+    if (text.size() != kUuidLength) {
+        return false;
+    }
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const auto isDash = index == 8 || index == 13 || index == 18 || index == 23;
+        const auto isHex =
+            std::string_view("0123456789abcdef").find(text[index]) != std::string_view::npos;
+        if (isDash ? text[index] != '-' : !isHex) {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto parseHex(std::string_view digits) -> std::int64_t
+{
+    constexpr auto kBase = 16;
+    std::int64_t   value = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), value, kBase);
+    return value;
+}
+
+auto hasMember(std::span<const Member> members, std::string_view incarnation) -> bool
+{
+    return std::ranges::find(members, incarnation, &Member::incarnation) != members.end();
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ids
+//-----------------------------------------------------------------------------
+
+auto parseRequestId(std::string_view id) -> absl::StatusOr<RequestId>
+{
+    const auto slash = id.find('/');
+    if (slash == std::string_view::npos || slash == 0) {
+        return badId(id, "the id must be zone/uuid");
+    }
+    const auto uuid = id.substr(slash + 1);
+    if (!isUuid(uuid) || uuid[kUuidVersionAt] != '7') {
+        return badId(id, "the part after the zone must be a UUIDv7 in lower case");
+    }
+    const auto high = parseHex(uuid.substr(0, kUuidTimeHighLen));
+    const auto low = parseHex(uuid.substr(kUuidTimeHighLen + 1, kUuidTimeLowLen));
+    return RequestId{std::string(id.substr(0, slash)), (high << 16) | low};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Holders
+//-----------------------------------------------------------------------------
+
+auto findHolders(std::span<const Member> zoneMembers, std::string_view id) -> Holders
+{
+    const auto ranked = rankMembers(zoneMembers, id);
+    if (ranked.empty()) {
+        return {};
+    }
+    const auto *home = ranked.front();
+    if (ranked.size() == 1) {
+        return {home->incarnation, {}};
+    }
+    const auto others = std::span(ranked).subspan(1);
+    const auto elsewhere = std::ranges::find_if(
+        others, [&](const Member *member) { return member->rack != home->rack; });
+    const auto *copy = elsewhere == others.end() ? others.front() : *elsewhere;
+    return {home->incarnation, copy->incarnation};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Claim table
+//-----------------------------------------------------------------------------
+
+ClaimTable::ClaimTable(Incarnation self, std::string zone, const ClaimSettings &settings)
+    : self_(std::move(self)), zone_(std::move(zone)), settings_(settings)
+{
+}
+
+auto ClaimTable::setMembers(ZoneEpoch next, bool isJump, WallMs now) -> void
+{
+    const auto self = std::ranges::find(next.members, self_, &Member::incarnation);
+    if (next.epoch <= current_.epoch || self == next.members.end()) {
+        return;
+    }
+    noteLosses(next, isJump, now);
+    // Those that join after this entry have nothing to hand over to it.
+    awaiting_.clear();
+    for (const auto &member : next.members) {
+        const auto isOlder = member.joinedAt < self->joinedAt;
+        if (isOlder || hasMember(current_.members, member.incarnation)) {
+            awaiting_.insert(member.incarnation);
+        }
+    }
+    awaiting_.erase(self_);
+    current_ = std::move(next);
+    unsettled_.push_back(current_);
+    noteReady();
+}
+
+// Claims of an epoch are where its holders are, or still on their way if it never got ready here.
+auto ClaimTable::noteLosses(const ZoneEpoch &next, bool isJump, WallMs now) -> void
+{
+    const auto self = std::ranges::find(next.members, self_, &Member::incarnation);
+    const auto isAwaitedGone = std::ranges::any_of(
+        awaiting_, [&](const Incarnation &awaited) { return !hasMember(next.members, awaited); });
+    const auto isFirstHere = current_.epoch == 0;
+    const auto isAlone = next.members.size() == 1;
+    const auto hadOthersBefore = isFirstHere && isAlone && self->joinedAfter != 0;
+    const auto hasGap = !isFirstHere && (isJump || (!wasReady_ && isAwaitedGone));
+    if (hadOthersBefore || hasGap) {
+        lost_.push_back({{}, next.epoch, {}, now});
+    }
+    for (const auto &before : unsettled_) {
+        auto survivors = std::set<Incarnation>();
+        for (const auto &member : before.members) {
+            if (hasMember(next.members, member.incarnation)) {
+                survivors.insert(member.incarnation);
+            }
+        }
+        if (survivors.size() < before.members.size()) {
+            lost_.push_back({before, next.epoch, std::move(survivors), now});
+        }
+    }
+}
+
+auto ClaimTable::noteReady() -> void
+{
+    if (isReady()) {
+        wasReady_ = true;
+        unsettled_ = {current_};
+    }
+}
+
+auto ClaimTable::claim(std::string_view id, std::string_view team, WallMs now) -> bool
+{
+    if (claims_.size() >= settings_.maxClaims) {
+        return false;
+    }
+    auto claim = Claim{};
+    claim.id = std::string(id);
+    claim.team = std::string(team);
+    claim.runner = self_;
+    claim.sequence = ++lastSequence_;
+    claim.createdAt = now;
+    claims_.insert_or_assign(std::string(id), std::move(claim));
+    return true;
+}
+
+auto ClaimTable::release(std::string_view id) -> void
+{
+    const auto found = claims_.find(id);
+    if (found != claims_.end() && found->second.phase == ClaimPhase::Claimed) {
+        claims_.erase(found);
+    }
+}
+
+auto ClaimTable::dropCopy(std::string_view id, const Incarnation &runner, std::int64_t sequence)
+    -> void
+{
+    const auto found = claims_.find(id);
+    if (found != claims_.end() && found->second.phase == ClaimPhase::Claimed
+        && found->second.runner == runner && found->second.sequence == sequence) {
+        claims_.erase(found);
+    }
+}
+
+auto ClaimTable::finish(std::string_view id, std::optional<Answer> answer) -> void
+{
+    const auto found = claims_.find(id);
+    if (found != claims_.end() && found->second.phase == ClaimPhase::Claimed) {
+        found->second.phase = answer ? ClaimPhase::Answered : ClaimPhase::Unknown;
+        keepAnswer(found->second, std::move(answer));
+    }
+}
+
+auto ClaimTable::keepAnswer(Claim &claim, std::optional<Answer> answer) -> void
+{
+    if (!answer || answer->body.size() > settings_.maxAnswerBytes) {
+        return;
+    }
+    claim.hasAnswer = true;
+    claim.answer = *std::move(answer);
+    answerBytes_ += claim.answer.body.size();
+    answerOrder_.push_back(claim.id);
+    dropOldAnswers();
+}
+
+auto ClaimTable::dropOldAnswers() -> void
+{
+    while (answerBytes_ > settings_.maxAnswersBytes && !answerOrder_.empty()) {
+        const auto found = claims_.find(answerOrder_.front());
+        answerOrder_.pop_front();
+        if (found == claims_.end() || !found->second.hasAnswer) {
+            continue;
+        }
+        answerBytes_ -= found->second.answer.body.size();
+        found->second.hasAnswer = false;
+        found->second.answer = {};
+    }
+}
+
+// Only moves forward: an end is never replaced by an earlier phase.
+auto ClaimTable::store(Claim claim) -> void
+{
+    auto &present = claims_[claim.id];
+    if (!present.id.empty() && present.phase != ClaimPhase::Claimed) {
+        return;
+    }
+    auto answer = claim.hasAnswer ? std::optional(std::move(claim.answer)) : std::nullopt;
+    claim.hasAnswer = false;
+    claim.answer = {};
+    present = std::move(claim);
+    keepAnswer(present, std::move(answer));
+}
+
+auto ClaimTable::noteSynced(const Incarnation &survivor, Offset epoch) -> void
+{
+    if (epoch == current_.epoch) {
+        awaiting_.erase(survivor);
+        noteReady();
+    }
+}
+
+auto ClaimTable::addLost(std::span<const LostEpoch> lost) -> void
+{
+    for (const auto &entry : lost) {
+        const auto isKnown = std::ranges::any_of(lost_, [&](const LostEpoch &known) {
+            return known.before.epoch == entry.before.epoch && known.after == entry.after
+                && known.at >= entry.at;
+        });
+        if (!isKnown) {
+            lost_.push_back(entry);
+        }
+    }
+}
+
+auto ClaimTable::expire(WallMs now) -> void
+{
+    const auto keepMs = settings_.windowMs + 2 * settings_.clockSkewMs;
+    std::erase_if(lost_, [&](const LostEpoch &lost) { return now - lost.at > keepMs; });
+    std::erase_if(claims_, [&](const auto &entry) {
+        const auto isOld = now - entry.second.createdAt > keepMs;
+        if (isOld && entry.second.hasAnswer) {
+            answerBytes_ -= entry.second.answer.body.size();
+        }
+        return isOld;
+    });
+    while (!answerOrder_.empty() && !claims_.contains(answerOrder_.front())) {
+        answerOrder_.pop_front();
+    }
+}
+
+auto ClaimTable::lookUp(std::string_view id, WallMs mintedAt, WallMs now) const -> ClaimLookup
+{
+    if (const auto *claim = find(id)) {
+        switch (claim->phase) {
+        case ClaimPhase::Claimed:
+            if (claim->runner == self_) {
+                return ClaimLookup::Held;
+            }
+            return hasMember(current_.members, claim->runner) ? ClaimLookup::Elsewhere
+                                                              : ClaimLookup::Unknown;
+        case ClaimPhase::Answered:
+            return ClaimLookup::Answered;
+        case ClaimPhase::Unknown:
+            return ClaimLookup::Unknown;
+        }
+    }
+    if (now - mintedAt > settings_.windowMs || isLost(id, mintedAt)) {
+        return ClaimLookup::Unknown;
+    }
+    return isReady() ? ClaimLookup::Free : ClaimLookup::NotReady;
+}
+
+auto ClaimTable::isLost(std::string_view id, WallMs mintedAt) const -> bool
+{
+    return std::ranges::any_of(lost_, [&](const LostEpoch &lost) {
+        if (mintedAt > lost.at + settings_.clockSkewMs) {
+            return false;
+        }
+        const auto holders = findHolders(lost.before.members, id);
+        return !lost.survivors.contains(holders.home) && !lost.survivors.contains(holders.copy);
+    });
+}
+
+auto ClaimTable::find(std::string_view id) const -> const Claim *
+{
+    const auto found = claims_.find(id);
+    return found == claims_.end() ? nullptr : &found->second;
+}
+
+auto ClaimTable::claimsFor(const Incarnation &peer) const -> std::vector<const Claim *>
+{
+    auto found = std::vector<const Claim *>();
+    for (const auto &[id, claim] : claims_) {
+        const auto holders = findHolders(current_.members, id);
+        if (holders.home == peer || holders.copy == peer) {
+            found.push_back(&claim);
+        }
+    }
+    return found;
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,191 @@
+// The one binary: the daemon and its short-lived clients.
+
+#include "cli/cli.h"
+#include "entry/entry.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace peridotwalk;
+
+// What the command line gave.
+struct Arguments {
+    std::string              settings;
+    std::vector<std::string> entries = {"127.0.0.1:8200"};
+    std::string              file;
+    std::string              name;
+    std::string              other;
+    bool                     isJson = false;
+    TimeMs                   timeoutMs = 12'000;
+    CommandOptions           options;
+    int                      exitCode = kExitDone;
+};
+
+auto runDaemon(const std::string &file) -> int
+{
+    const auto text = readFile(file);
+    if (!text.ok() || checkSettings(file) != kExitDone) {
+        std::cerr << (text.ok() ? "the settings can't be taken"
+                                : std::string(text.status().message()))
+                  << '\n';
+        return kExitBadInput;
+    }
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging("peridotwalk");
+    std::signal(SIGPIPE, SIG_IGN);
+    return runEntry(parseEntrySettings(*text).settings);
+}
+
+// Adds the options that all clients take.
+auto addClientOptions(CLI::App *app, Arguments &arguments) -> void
+{
+    app->add_option("--entry", arguments.entries, "operators' address of an entry, or several");
+    app->add_option("--timeout-ms", arguments.timeoutMs, "wait at most that long")
+        ->check(CLI::Range(1, 3'600'000));
+}
+
+auto addCommandOptions(CLI::App *app, Arguments &arguments) -> void
+{
+    addClientOptions(app, arguments);
+    app->add_option("--author", arguments.options.author, "your login")->default_val("operator");
+    app->add_option("--asker", arguments.options.asker, "who asked, for the comment of the rule")
+        ->required();
+}
+
+// Adds a subcommand that talks to entries.
+template <typename Run>
+auto onClient(CLI::App *app, Arguments &arguments, Run run) -> void
+{
+    app->callback([&arguments, run] {
+        arguments.options.waitMs = arguments.timeoutMs;
+        auto client =
+            OperatorClient(arguments.entries, std::min<TimeMs>(arguments.timeoutMs, 5'000));
+        arguments.exitCode = run(client);
+    });
+}
+
+auto addRules(CLI::App &app, Arguments &arguments) -> void
+{
+    auto *rules = app.add_subcommand("rules", "check, compare and publish the rules file");
+    rules->require_subcommand(1);
+    auto *check = rules->add_subcommand("check", "name every error of a rules file");
+    check->add_option("file", arguments.file)->required();
+    check->callback([&] { arguments.exitCode = checkRules(arguments.file); });
+    auto *diff = rules->add_subcommand("diff", "show what publishing would change");
+    diff->add_option("file", arguments.file)->required();
+    diff->add_flag("--json", arguments.isJson);
+    addClientOptions(diff, arguments);
+    onClient(diff, arguments, [&](OperatorClient &client) {
+        return diffRulesFile(client, arguments.file, arguments.isJson);
+    });
+    auto *publish = rules->add_subcommand("publish", "make a rules file the one in force");
+    publish->add_option("file", arguments.file)->required();
+    publish->add_option("--author", arguments.options.author, "your login")
+        ->default_val("operator");
+    addClientOptions(publish, arguments);
+    onClient(publish, arguments, [&](OperatorClient &client) {
+        return publishRules(client, arguments.file, arguments.options);
+    });
+}
+
+auto addZone(CLI::App &app, Arguments &arguments) -> void
+{
+    auto *zone = app.add_subcommand("zone", "take a zone out or bring it back");
+    zone->require_subcommand(1);
+    for (const auto isOut : {true, false}) {
+        auto *change = zone->add_subcommand(isOut ? "out" : "in");
+        change->add_option("zone", arguments.name)->required();
+        addCommandOptions(change, arguments);
+        onClient(change, arguments, [&arguments, isOut](OperatorClient &client) {
+            return setZoneOut(client, arguments.name, isOut, arguments.options);
+        });
+    }
+}
+
+auto addKey(CLI::App &app, Arguments &arguments) -> void
+{
+    auto *key = app.add_subcommand("key", "grant and withdraw keys");
+    key->require_subcommand(1);
+    auto *grant = key->add_subcommand("grant", "let a key work for a team");
+    grant->add_option("name", arguments.name)->required();
+    grant->add_option("team", arguments.other)->required();
+    grant->add_option("--key-file", arguments.file, "file that holds the key, - for standard input")
+        ->required();
+    addCommandOptions(grant, arguments);
+    onClient(grant, arguments, [&](OperatorClient &client) {
+        return grantKey(client, arguments.name, arguments.other, arguments.file, arguments.options);
+    });
+    auto *withdraw = key->add_subcommand("withdraw", "stop a key from working");
+    withdraw->add_option("name", arguments.name)->required();
+    addCommandOptions(withdraw, arguments);
+    onClient(withdraw, arguments, [&](OperatorClient &client) {
+        return withdrawKey(client, arguments.name, arguments.options);
+    });
+}
+
+auto addInstances(CLI::App &app, Arguments &arguments) -> void
+{
+    auto *move = app.add_subcommand("move", "drain an instance and put it into another pool");
+    move->add_option("instance", arguments.name)->required();
+    move->add_option("pool", arguments.other)->required();
+    addCommandOptions(move, arguments);
+    onClient(move, arguments, [&](OperatorClient &client) {
+        return moveInstance(client, arguments.name, arguments.other, arguments.options);
+    });
+    auto *drain = app.add_subcommand("drain", "give an instance no new work");
+    drain->add_option("instance", arguments.name)->required();
+    drain->add_flag("--end", arguments.isJson, "give it work again");
+    addCommandOptions(drain, arguments);
+    onClient(drain, arguments, [&](OperatorClient &client) {
+        return setDrain(client, arguments.name, !arguments.isJson, arguments.options);
+    });
+}
+
+auto addQueries(CLI::App &app, Arguments &arguments) -> void
+{
+    auto *check = app.add_subcommand("check-settings", "name every error of a settings file");
+    check->add_option("file", arguments.file)->required();
+    check->callback([&] { arguments.exitCode = checkSettings(arguments.file); });
+    auto *status = app.add_subcommand("status", "show what an entry sees");
+    status->add_flag("--json", arguments.isJson);
+    addClientOptions(status, arguments);
+    onClient(status, arguments,
+             [&](OperatorClient &client) { return printStatus(client, arguments.isJson); });
+    auto *explain = app.add_subcommand("explain", "show why a request went where it went");
+    explain->add_option("request", arguments.name)->required();
+    explain->add_flag("--json", arguments.isJson);
+    addClientOptions(explain, arguments);
+    onClient(explain, arguments, [&](OperatorClient &client) {
+        return printExplain(client, arguments.name, arguments.isJson);
+    });
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    auto arguments = Arguments{};
+    auto app = CLI::App("Fleet capacity and maintenance manager");
+    app.require_subcommand(1);
+    auto *entry = app.add_subcommand("entry", "run an entry instance");
+    entry->add_option("--settings", arguments.settings, "settings file (JSON)")->required();
+    entry->callback([&] { arguments.exitCode = runDaemon(arguments.settings); });
+    addRules(app, arguments);
+    addZone(app, arguments);
+    addKey(app, arguments);
+    addInstances(app, arguments);
+    addQueries(app, arguments);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        const auto code = app.exit(error);
+        return code == 0 ? kExitDone : kExitBadInput;
+    }
+    return arguments.exitCode;
+}
--- /dev/null
+++ b/src/engine/claim_part.cpp
@@ -0,0 +1,490 @@
+#include "engine/engine_internal.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr std::size_t kClaimsPerSync = 500;
+constexpr TimeMs      kSyncRetryMs = 500;
+constexpr TimeMs      kForwardRetryMs = 1'000;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Claim part: requests that must not repeat
+//-----------------------------------------------------------------------------
+
+ClaimPart::ClaimPart(EngineParts &parts)
+    : parts_(parts),
+      table_(parts.shared.self(), parts.shared.settings.zone, parts.shared.settings.claims)
+{
+}
+
+// Sends the request to the home of its id, or takes it if that is this entry.
+auto ClaimPart::accept(ReplyTo replyTo, CallerRequest request) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto parsed = parseRequestId(request.id);
+    if (!parsed.ok()) {
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::NotRun, "request-id", request.id,
+                                          std::string(parsed.status().message())));
+        return;
+    }
+    if (shared.state.rules().zone(parsed->zone) == nullptr) {
+        parts_.quick.reply(
+            replyTo,
+            shared.refusal(Outcome::NotRun, "request-id", parsed->zone, "there is no such zone"));
+        return;
+    }
+    const auto members = shared.state.membersOf(parsed->zone);
+    if (findHolders(members, request.id).home == shared.self()) {
+        acceptAtHome(std::move(replyTo), std::move(request));
+        return;
+    }
+    auto forward = PendingForward{};
+    forward.replyTo = std::move(replyTo);
+    forward.deadline = shared.now.mono + request.timeoutMs;
+    forward.request = std::move(request);
+    const auto forwardId = ++lastForward_;
+    auto      &stored = forwards_.emplace(forwardId, std::move(forward)).first->second;
+    sendForward(forwardId, stored);
+}
+
+auto ClaimPart::sendForward(std::int64_t forwardId, PendingForward &forward) -> void
+{
+    auto &shared = parts_.shared;
+    forward.sentAt = shared.now.mono;
+    const auto zone = parseRequestId(forward.request.id)->zone;
+    const auto home = findHolders(shared.state.membersOf(zone), forward.request.id).home;
+    if (home == shared.self()) {
+        auto pending = std::move(forward);
+        forwards_.erase(forwardId);
+        pending.request.timeoutMs = pending.deadline - shared.now.mono;
+        acceptAtHome(std::move(pending.replyTo), std::move(pending.request));
+        return;
+    }
+    if (!shared.connected.contains(home)) {
+        return;
+    }
+    forward.sentTo = home;
+    auto message = Forward{forwardId, forward.request};
+    message.request.timeoutMs = forward.deadline - shared.now.mono;
+    shared.emit(Decision{forward.request.id, "", forward.request.service, "forward", home,
+                         "home of the id", shared.state.membersOf(zone).size()});
+    shared.send(home, std::move(message));
+}
+
+auto ClaimPart::onForward(const Incarnation &from, Forward &forward) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto parsed = parseRequestId(forward.request.id);
+    const auto isHome = parsed.ok() && parsed->zone == shared.settings.zone
+        && table_.holders(forward.request.id).home == shared.self();
+    if (!isHome) {
+        shared.send(from, ForwardReply{forward.forwardId, false, {}});
+        return;
+    }
+    acceptAtHome(ReplyTo{0, from, forward.forwardId}, std::move(forward.request));
+}
+
+auto ClaimPart::onForwardReply(ForwardReply &reply) -> void
+{
+    const auto found = forwards_.find(reply.forwardId);
+    if (found == forwards_.end()) {
+        return; // The caller was answered already.
+    }
+    if (!reply.isHome) {
+        found->second.sentTo.clear(); // Goes again soon, to whoever is home by then.
+        return;
+    }
+    const auto replyTo = std::move(found->second.replyTo);
+    forwards_.erase(found);
+    parts_.quick.reply(replyTo, std::move(reply.reply));
+}
+
+auto ClaimPart::teamOf(const CallerRequest &request) const -> std::string
+{
+    const auto *team = request.keyHash.empty()
+        ? nullptr
+        : parts_.shared.state.rules().teamOfKeyHash(request.keyHash);
+    return team == nullptr ? std::string() : team->name;
+}
+
+auto ClaimPart::acceptAtHome(ReplyTo replyTo, CallerRequest request) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto mintedAt = parseRequestId(request.id)->mintedAt;
+    const auto lookup = table_.lookUp(request.id, mintedAt, shared.now.wall);
+    if (const auto *claim = table_.find(request.id)) {
+        replyFromClaim(replyTo, request, *claim);
+        return;
+    }
+    if (lookup == ClaimLookup::Unknown) {
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::Unknown, "claim", shared.self(),
+                                          "the id is too old, or its claim was lost"));
+        return;
+    }
+    if (lookup == ClaimLookup::NotReady || shared.state.member(shared.self()) == nullptr) {
+        hold(std::move(replyTo), std::move(request), false, {});
+        return;
+    }
+    if (mintedAt > shared.now.wall + shared.settings.claims.clockSkewMs) {
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::NotRun, "request-id", request.id,
+                                          "the id was minted in the future"));
+        return;
+    }
+    auto checked = parts_.quick.check(request);
+    if (auto *refused = std::get_if<Reply>(&checked)) {
+        parts_.quick.reply(replyTo, std::move(*refused));
+        return;
+    }
+    claimAndCopy(std::move(replyTo), std::move(request), std::get<Admission>(checked));
+}
+
+auto ClaimPart::claimAndCopy(ReplyTo replyTo, CallerRequest request, const Admission &admission)
+    -> void
+{
+    auto &shared = parts_.shared;
+    if (table_.holders(request.id).copy.empty()) {
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::NotRun, "claim", shared.self(),
+                                          "the zone has no second entry to hold a copy"));
+        return;
+    }
+    if (!shared.mayStartForTeams()) {
+        parts_.quick.reply(
+            replyTo,
+            shared.refusal(Outcome::NotRun, "fence", shared.self(), "this entry is cut off"));
+        return;
+    }
+    if (!table_.claim(request.id, admission.team, shared.now.wall)) {
+        parts_.quick.reply(
+            replyTo,
+            shared.refusal(Outcome::NotRun, "claim", shared.self(), "too many claims are kept"));
+        return;
+    }
+    const auto id = request.id;
+    hold(std::move(replyTo), std::move(request), true, admission);
+    sendCopy(id);
+}
+
+// Answers a request whose id was claimed before.
+auto ClaimPart::replyFromClaim(const ReplyTo &replyTo, const CallerRequest &request,
+                               const Claim &claim) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto unknown = [&](std::string_view reason) {
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::Unknown, "claim", claim.runner, reason));
+    };
+    if (teamOf(request) != claim.team) {
+        unknown("the id was claimed with the key of another team");
+    } else if (claim.phase == ClaimPhase::Answered && claim.hasAnswer) {
+        parts_.quick.reply(replyTo, Reply{Outcome::Answered, claim.answer, {}});
+    } else if (claim.phase == ClaimPhase::Answered) {
+        unknown("it ran, and its answer isn't kept any more");
+    } else if (claim.phase == ClaimPhase::Unknown || claim.runner != shared.self()) {
+        unknown("it may have run");
+    } else if (waiters_.count(request.id) >= shared.settings.requests.maxWaiters) {
+        unknown("it is running, and too many wait for its answer");
+    } else if (replyTo.peer.empty() || waiters_.count(request.id) == 0
+               || std::ranges::none_of(waiters_, [&](const auto &waiter) {
+                      return waiter.second.peer == replyTo.peer
+                          && waiter.second.forwardId == replyTo.forwardId;
+                  })) {
+        waiters_.emplace(request.id, replyTo);
+    }
+}
+
+auto ClaimPart::hold(ReplyTo replyTo, CallerRequest request, bool isClaimed,
+                     const Admission &admission) -> void
+{
+    auto held = Held{};
+    held.replyTo = std::move(replyTo);
+    held.admission = admission;
+    held.deadline = parts_.shared.now.mono + request.timeoutMs;
+    held.isClaimed = isClaimed;
+    auto id = request.id;
+    held.request = std::move(request);
+    held_.emplace(std::move(id), std::move(held));
+}
+
+auto ClaimPart::sendCopy(std::string_view id) -> void
+{
+    auto       &shared = parts_.shared;
+    const auto  copy = table_.holders(id).copy;
+    const auto *claim = table_.find(id);
+    if (claim != nullptr && shared.connected.contains(copy)) {
+        shared.send(copy, ClaimCopy{table_.epoch(), *claim});
+    }
+}
+
+auto ClaimPart::onClaimCopy(const Incarnation &from, ClaimCopy &copy) -> void
+{
+    auto      &shared = parts_.shared;
+    auto       reply = ClaimCopyReply{copy.claim.id, copy.claim.sequence, table_.epoch(), false};
+    const auto isEnd = copy.claim.phase != ClaimPhase::Claimed;
+    const auto holders = table_.holders(copy.claim.id);
+    const auto isHolder = holders.copy == shared.self() && holders.home == from;
+    if (isEnd || (copy.epoch == table_.epoch() && isHolder)) {
+        table_.store(std::move(copy.claim));
+        reply.isHeld = true;
+    }
+    if (!isEnd) {
+        shared.send(from, std::move(reply));
+    }
+}
+
+// The copy is held: from here on the request may start.
+auto ClaimPart::onClaimCopyReply(const Incarnation &from, const ClaimCopyReply &reply) -> void
+{
+    const auto *claim = table_.find(reply.id);
+    const auto  isCurrent = claim != nullptr && claim->sequence == reply.sequence && reply.isHeld
+        && reply.epoch == table_.epoch() && table_.holders(reply.id).copy == from;
+    if (!isCurrent) {
+        return;
+    }
+    const auto [begin, end] = held_.equal_range(reply.id);
+    const auto found =
+        std::find_if(begin, end, [](const auto &held) { return held.second.isClaimed; });
+    if (found == end) {
+        return;
+    }
+    auto held = std::move(found->second);
+    held_.erase(found);
+    held.request.timeoutMs = held.deadline - parts_.shared.now.mono;
+    parts_.quick.accept(std::move(held.replyTo), std::move(held.request), held.admission);
+}
+
+auto ClaimPart::onClaimDrop(const Incarnation &from, const ClaimDrop &drop) -> void
+{
+    table_.dropCopy(drop.id, from, drop.sequence);
+}
+
+// The home of the id when it was claimed still holds it, in whatever epoch, and isn't fenced.
+auto ClaimPart::mayStart(std::string_view id) const -> bool
+{
+    const auto *claim = table_.find(id);
+    return claim != nullptr && claim->phase == ClaimPhase::Claimed
+        && claim->runner == parts_.shared.self() && parts_.shared.mayStartForTeams();
+}
+
+auto ClaimPart::finish(const std::string &id, const Reply &reply) -> void
+{
+    switch (reply.outcome) {
+    case Outcome::NotRun:
+        release(id);
+        break;
+    case Outcome::Answered:
+        table_.finish(id, reply.answer);
+        break;
+    case Outcome::Unknown:
+        table_.finish(id, std::nullopt);
+        break;
+    }
+    if (const auto *claim = table_.find(id)) {
+        shareEnd(*claim);
+    }
+    const auto [begin, end] = waiters_.equal_range(id);
+    for (auto waiter = begin; waiter != end; ++waiter) {
+        parts_.quick.reply(waiter->second, reply);
+    }
+    waiters_.erase(begin, end);
+}
+
+auto ClaimPart::shareEnd(const Claim &claim) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto holders = table_.holders(claim.id);
+    for (const auto &holder : {holders.home, holders.copy}) {
+        if (holder != shared.self() && shared.connected.contains(holder)) {
+            shared.send(holder, ClaimCopy{table_.epoch(), claim});
+        }
+    }
+}
+
+auto ClaimPart::release(const std::string &id) -> void
+{
+    auto       &shared = parts_.shared;
+    const auto *claim = table_.find(id);
+    if (claim == nullptr || claim->runner != shared.self()) {
+        return;
+    }
+    const auto drop = ClaimDrop{id, claim->sequence};
+    for (const auto &member : table_.members()) {
+        if (member.incarnation != shared.self() && shared.connected.contains(member.incarnation)) {
+            shared.send(member.incarnation, drop);
+        }
+    }
+    table_.release(id);
+}
+
+auto ClaimPart::onCallerGone(CallerHandle handle) -> void
+{
+    const auto isOf = [&](const ReplyTo &replyTo) {
+        return replyTo.handle == handle && replyTo.peer.empty();
+    };
+    std::erase_if(forwards_, [&](const auto &entry) { return isOf(entry.second.replyTo); });
+    std::erase_if(waiters_, [&](const auto &entry) { return isOf(entry.second); });
+    for (auto &[id, held] : held_) {
+        if (isOf(held.replyTo)) {
+            held.replyTo.handle = 0;
+            held.deadline = parts_.shared.now.mono;
+        }
+    }
+}
+
+auto ClaimPart::onMembersChanged(bool isJump) -> void
+{
+    auto       &shared = parts_.shared;
+    const auto &zone = shared.settings.zone;
+    table_.setMembers({shared.state.zoneEpoch(zone), shared.state.membersOf(zone)}, isJump,
+                      shared.now.wall);
+    unsynced_.clear();
+    partsSeen_.clear();
+    for (const auto &member : table_.members()) {
+        if (member.incarnation != shared.self()) {
+            unsynced_[member.incarnation] = table_.epoch();
+            syncWith(member.incarnation);
+        }
+    }
+    lastSync_ = shared.now.mono;
+}
+
+auto ClaimPart::syncWith(const Incarnation &peer) -> void
+{
+    auto &shared = parts_.shared;
+    if (!shared.connected.contains(peer)) {
+        return;
+    }
+    const auto claims = table_.claimsFor(peer);
+    const auto parts =
+        std::max<std::size_t>(1, (claims.size() + kClaimsPerSync - 1) / kClaimsPerSync);
+    for (std::size_t part = 0; part < parts; ++part) {
+        auto       sync = ClaimSync{table_.epoch(),
+                              static_cast<std::int64_t>(part),
+                              static_cast<std::int64_t>(parts),
+                              {},
+                              {}};
+        const auto end = std::min(claims.size(), (part + 1) * kClaimsPerSync);
+        for (auto index = part * kClaimsPerSync; index < end; ++index) {
+            sync.claims.push_back(*claims[index]);
+        }
+        sync.lost.assign(table_.lost().begin(), table_.lost().end());
+        shared.send(peer, std::move(sync));
+    }
+}
+
+auto ClaimPart::onClaimSync(const Incarnation &from, ClaimSync &sync) -> void
+{
+    if (sync.epoch != table_.epoch()) {
+        return; // The sender repeats it until both are in the same epoch.
+    }
+    for (auto &claim : sync.claims) {
+        table_.store(std::move(claim));
+    }
+    table_.addLost(sync.lost);
+    auto &seen = partsSeen_[from];
+    seen.insert(sync.part);
+    if (static_cast<std::int64_t>(seen.size()) == sync.parts) {
+        table_.noteSynced(from, sync.epoch);
+        parts_.shared.send(from, ClaimSyncDone{sync.epoch});
+        retryHeld();
+    }
+}
+
+auto ClaimPart::onClaimSyncDone(const Incarnation &from, const ClaimSyncDone &done) -> void
+{
+    const auto found = unsynced_.find(from);
+    if (found != unsynced_.end() && found->second == done.epoch) {
+        unsynced_.erase(found);
+    }
+}
+
+auto ClaimPart::onTick() -> void
+{
+    auto &shared = parts_.shared;
+    table_.expire(shared.now.wall);
+    retryHeld();
+    retryForwards();
+    if (shared.now.mono - lastSync_ >= kSyncRetryMs) {
+        lastSync_ = shared.now.mono;
+        for (const auto &[peer, epoch] : unsynced_) {
+            syncWith(peer);
+        }
+    }
+}
+
+auto ClaimPart::retryHeld() -> void
+{
+    auto &shared = parts_.shared;
+    auto  pending = std::multimap<std::string, Held>();
+    pending.swap(held_);
+    for (auto &[id, held] : pending) {
+        const auto isLate = shared.now.mono >= held.deadline;
+        if (held.isClaimed && !isLate) {
+            if (shared.now.mono - held.sentAt >= shared.settings.requests.claimRetryMs) {
+                held.sentAt = shared.now.mono;
+                sendCopy(id);
+            }
+            held_.emplace(id, std::move(held));
+            continue;
+        }
+        if (held.isClaimed) {
+            // Nothing was sent to a target, so this is certain.
+            const auto refused = shared.refusal(Outcome::NotRun, "claim", table_.holders(id).copy,
+                                                "no second entry confirmed the claim in time");
+            finish(id, refused);
+            parts_.quick.reply(held.replyTo, refused);
+            continue;
+        }
+        if (isLate) {
+            parts_.quick.reply(held.replyTo,
+                               shared.refusal(Outcome::Unknown, "claim", shared.self(),
+                                              "the claims of another entry haven't arrived"));
+            continue;
+        }
+        if (!table_.isReady()) {
+            held_.emplace(id, std::move(held));
+            continue;
+        }
+        held.request.timeoutMs = held.deadline - shared.now.mono;
+        acceptAtHome(std::move(held.replyTo), std::move(held.request));
+    }
+}
+
+auto ClaimPart::retryForwards() -> void
+{
+    auto &shared = parts_.shared;
+    auto  due = std::vector<std::int64_t>();
+    for (const auto &[forwardId, forward] : forwards_) {
+        // A home that is still connected has the request. Sending it again only mends lost answers.
+        const auto waitMs = shared.connected.contains(forward.sentTo)
+            ? kForwardRetryMs
+            : shared.settings.requests.claimRetryMs;
+        const auto isLate = shared.now.mono >= forward.deadline;
+        if (isLate || shared.now.mono - forward.sentAt >= waitMs) {
+            due.push_back(forwardId);
+        }
+    }
+    for (const auto forwardId : due) {
+        auto &forward = forwards_.at(forwardId);
+        if (shared.now.mono < forward.deadline) {
+            sendForward(forwardId, forward);
+            continue;
+        }
+        const auto replyTo = std::move(forward.replyTo);
+        const auto home = forward.sentTo;
+        forwards_.erase(forwardId);
+        parts_.quick.reply(replyTo,
+                           shared.refusal(Outcome::Unknown, "forward", home,
+                                          "the home of the id didn't answer in time"));
+    }
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/engine/engine_internal.h
@@ -0,0 +1,340 @@
+// The parts of an engine. Only for the sources of this library.
+//
+// Index of this file
+// [SECTION] Shared
+// [SECTION] State part: log, peers, members
+// [SECTION] Unit part: limits and slots
+// [SECTION] Quick part: requests to runners
+// [SECTION] Claim part: requests that must not repeat
+// [SECTION] Task part: long tasks on workers
+// [SECTION] Parts
+
+#pragma once
+
+#include "engine/engine.h"
+
+#include <unordered_map>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Shared
+//-----------------------------------------------------------------------------
+
+// What every part reads, and the effects they add to.
+struct Shared {
+    explicit Shared(EngineSettings given);
+
+    auto emit(Effect effect) -> void { effects.push_back(std::move(effect)); }
+    auto send(const Incarnation &to, PeerMessage message) -> void;
+    auto append(const Record &record) -> void; // Each record id once.
+    auto refusal(Outcome outcome, std::string_view step, std::string_view peer,
+                 std::string_view reason) const -> Reply; // With the configured time to retry.
+    auto mayStartForTeams() const -> bool;
+    auto mayStartOpen() const -> bool;
+    auto otherMembers() const -> std::vector<Incarnation>;
+    auto self() const -> const Incarnation & { return settings.incarnation; }
+
+    EngineSettings                     settings;
+    Now                                now;
+    FleetState                         state;
+    MembershipTable                    membership;
+    TargetTable                        targets;
+    Random                             random;
+    std::set<Incarnation, std::less<>> connected; // Peers with a connection.
+    std::set<std::string, std::less<>> appended;  // Record ids that are on their way to the log.
+    AttemptId                          lastAttempt = 0;
+    bool                               isStopping = false;
+    std::vector<Effect>                effects;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] State part: log, peers, members
+//-----------------------------------------------------------------------------
+
+class StatePart
+{
+public:
+    explicit StatePart(EngineParts &parts) : parts_(parts) { }
+
+    auto onRecord(Offset after, Offset offset, std::string_view text) -> void;
+    auto onLogHead(TimeMs asOf) -> void;
+    auto onHeartbeat(const Incarnation &from, const Heartbeat &heartbeat) -> void;
+    auto onRecordsPush(const RecordsPush &push) -> void;
+    auto onStatePush(const StatePush &push) -> void;
+    auto onTick() -> void;
+    auto leave() -> void;
+
+    auto readFrom() const -> Offset;
+    auto noteUse(std::string_view team, double cost) -> void; // Told to peers for fairness.
+
+private:
+    struct TailEntry {
+        Offset      after = 0;
+        Offset      offset = 0;
+        std::string text;
+    };
+
+    auto applyText(Offset after, Offset offset, std::string_view text) -> void;
+    auto restore(std::string_view dump) -> void;
+    auto afterChange(bool isJump) -> void;
+    auto settleWithGone() -> void;
+    auto refreshGrants() -> void;
+    auto refreshRules() -> void;
+    auto keepInTail(Offset after, Offset offset, std::string_view text) -> void;
+    auto helpLaggingPeer(const Incarnation &peer, Offset applied) -> void;
+    auto sendHeartbeats() -> void;
+    auto join() -> void;
+    auto writeSnapshotIfDue() -> void;
+
+    EngineParts                               &parts_;
+    std::deque<TailEntry>                      tail_;
+    std::size_t                                tailBytes_ = 0;
+    Offset                                     scanFrom_ = 0; // Looking for a snapshot.
+    Offset                                     zoneEpoch_ = 0;
+    TimeMs                                     snapshotDueSince_ = 0;
+    TimeMs                                     lastHeartbeat_ = 0;
+    bool                                       hasSeenHead_ = false;
+    bool                                       hasLeft_ = false;
+    std::map<std::string, double, std::less<>> used_;
+    std::map<Incarnation, TimeMs, std::less<>> lastFromPeer_; // Its clock, to echo.
+    std::map<Incarnation, std::map<std::string, std::int64_t>, std::less<>>
+        outstanding_; // By peer.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Unit part: limits and slots
+//-----------------------------------------------------------------------------
+
+class UnitPart
+{
+public:
+    explicit UnitPart(EngineParts &parts) : parts_(parts) { }
+
+    auto setSlotGrants() -> void; // After a change of members or rules.
+    auto takeTeam(std::string_view team) -> bool;
+    auto giveBackTeam(std::string_view team) -> void;
+    auto takeSlot(std::string_view target) -> bool;
+    auto giveBackSlot(std::string_view target) -> void;
+    auto want(std::string_view resource, std::int64_t wanted) -> void; // A team, or "pool/NAME".
+    auto onUnitsWanted(const Incarnation &from, const UnitsWanted &wanted) -> void;
+    auto onUnitsGiven(const Incarnation &from, const UnitsGiven &given) -> void;
+    auto resendTo(const Incarnation &peer) -> void;
+    auto onTick() -> void;
+    auto handOver() -> void; // Everything that is free goes to peers.
+
+    auto teams() -> UnitLedger & { return teams_; }
+    auto teams() const -> const UnitLedger & { return teams_; }
+    auto slots() const -> const UnitLedger & { return slots_; }
+    auto reports() -> LimitReports & { return reports_; }
+    auto mayUseTeam(std::string_view team) const -> bool;
+
+private:
+    struct RemoteWant {
+        Incarnation  peer;
+        std::int64_t wanted = 0;
+        TimeMs       at = 0;
+    };
+
+    auto give(const Incarnation &to, std::string_view resource, std::int64_t wanted)
+        -> std::int64_t;
+    auto giveSlots(const Incarnation &to, std::string_view pool, std::int64_t wanted)
+        -> std::int64_t;
+    auto serveRemoteWants(const std::string &resource) -> void;
+    auto askPeers() -> void;
+    auto peersToAsk() const -> std::vector<Incarnation>;
+    auto settleDebts() -> void;
+    auto localNeed(std::string_view resource) const -> std::int64_t;
+    auto transferResource(std::string_view resource, const UnitTransfer &transfer) const
+        -> UnitTransfer;
+
+    EngineParts                                               &parts_;
+    UnitLedger                                                 teams_;
+    UnitLedger                                                 slots_;
+    LimitReports                                               reports_;
+    Offset                                                     slotEpoch_ = 0;
+    std::map<std::string, std::int64_t, std::less<>>           wants_; // This entry's, by resource.
+    std::map<std::string, TimeMs, std::less<>>                 askedAt_;
+    std::map<std::string, std::deque<RemoteWant>, std::less<>> remoteWants_;
+    bool                                                       isRemoteTurn_ = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Quick part: requests to runners
+//-----------------------------------------------------------------------------
+
+// Where the answer of a request goes.
+struct ReplyTo {
+    CallerHandle handle = 0;
+    Incarnation  peer; // Not empty: it came as a Forward from there.
+    std::int64_t forwardId = 0;
+};
+
+// Who a request works for, after its key was checked.
+struct Admission {
+    std::string team; // Empty on an open service without a key.
+    bool        isOpen = false;
+};
+
+class QuickPart
+{
+public:
+    explicit QuickPart(EngineParts &parts) : parts_(parts) { }
+
+    auto check(const CallerRequest &request) const -> std::variant<Admission, Reply>;
+    auto accept(ReplyTo replyTo, CallerRequest request, const Admission &admission) -> void;
+    auto onCallerGone(CallerHandle handle) -> void;
+    auto onAttemptReady(AttemptId attempt) -> bool; // False: not an attempt of this part.
+    auto onAttemptEnd(AttemptId attempt, AttemptEnd &end) -> bool;
+    auto onTick() -> void;
+    auto refreshShares() -> void;
+    auto pumpAll() -> void;
+    auto reply(const ReplyTo &replyTo, Reply reply) -> void;
+
+    auto waitingOf(std::string_view team) const -> std::size_t;
+    auto waitingIn(std::string_view pool) const -> std::size_t;
+    auto waiting() const -> std::size_t;
+    auto running() const -> std::size_t { return attempts_.size() + lingering_.size(); }
+    auto chargeAll(std::string_view team, double cost) -> void;
+
+private:
+    struct Request {
+        ReplyTo                  replyTo;
+        CallerRequest            body;
+        Admission                admission;
+        std::string              pool;
+        TimeMs                   acceptedAt = 0;
+        TimeMs                   deadline = 0;
+        TimeMs                   timeLimitMs = 0;
+        std::size_t              attempts = 0;
+        bool                     mayHaveRun = false; // An attempt broke after bytes had left.
+        std::vector<std::string> tried;
+    };
+
+    struct Attempt {
+        std::int64_t request = 0;
+        std::string  target;
+        std::string  team;
+        TimeMs       startedAt = 0;
+        bool         isWritten = false;
+    };
+
+    // Work that may still run at a target after its connection broke. It counts until its limit.
+    struct Lingering {
+        std::string team;
+        std::string target;
+        TimeMs      endsAt = 0;
+    };
+
+    auto pump(const std::string &pool) -> void;
+    auto startNext(const std::string &pool, FairQueue &queue) -> bool;
+    auto start(std::int64_t number, Request &request, const Choice &choice) -> void;
+    auto enqueue(std::int64_t number, const Request &request) -> void;
+    auto lastCheck(const Request &request, const Attempt &attempt) const -> std::optional<Reply>;
+    auto releaseUnits(const Attempt &attempt) -> void;
+    auto retryOrRefuse(std::int64_t number, Reply refusal, bool isFree) -> void;
+    auto finish(std::int64_t number, Reply reply) -> void;
+    auto wantUnits(const std::string &pool, const FairQueue &queue) -> void;
+    auto decide(const Request &request, std::string_view step, std::string_view chosen,
+                std::string_view reason, std::size_t considered) -> void;
+
+    EngineParts                                  &parts_;
+    std::int64_t                                  lastNumber_ = 0;
+    std::map<std::int64_t, Request>               requests_;
+    std::map<AttemptId, Attempt>                  attempts_;
+    std::vector<Lingering>                        lingering_;
+    std::map<std::string, FairQueue, std::less<>> queues_;  // By pool.
+    std::map<std::string, RetryBudget>            retries_; // By pool.
+    RunTimeEstimates                              estimates_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Claim part: requests that must not repeat
+//-----------------------------------------------------------------------------
+
+class ClaimPart
+{
+public:
+    explicit ClaimPart(EngineParts &parts);
+
+    auto accept(ReplyTo replyTo, CallerRequest request) -> void;
+    auto onMembersChanged(bool isJump) -> void;
+    auto onClaimCopy(const Incarnation &from, ClaimCopy &copy) -> void;
+    auto onClaimCopyReply(const Incarnation &from, const ClaimCopyReply &reply) -> void;
+    auto onClaimDrop(const Incarnation &from, const ClaimDrop &drop) -> void;
+    auto onClaimSync(const Incarnation &from, ClaimSync &sync) -> void;
+    auto onClaimSyncDone(const Incarnation &from, const ClaimSyncDone &done) -> void;
+    auto onForward(const Incarnation &from, Forward &forward) -> void;
+    auto onForwardReply(ForwardReply &reply) -> void;
+    auto onCallerGone(CallerHandle handle) -> void;
+    auto onTick() -> void;
+    auto finish(const std::string &id, const Reply &reply) -> void; // From the quick part.
+    auto mayStart(std::string_view id) const -> bool;               // The last check.
+
+    auto table() const -> const ClaimTable & { return table_; }
+    auto waiting() const -> std::size_t { return held_.size() + forwards_.size(); }
+
+private:
+    // A request that waits for this home to be ready, or for its claim's copy.
+    struct Held {
+        ReplyTo       replyTo;
+        CallerRequest request;
+        Admission     admission;
+        TimeMs        deadline = 0;
+        TimeMs        sentAt = 0;
+        bool          isClaimed = false;
+    };
+
+    struct PendingForward {
+        ReplyTo       replyTo;
+        CallerRequest request;
+        TimeMs        deadline = 0;
+        TimeMs        sentAt = 0;
+        Incarnation   sentTo;
+    };
+
+    auto acceptAtHome(ReplyTo replyTo, CallerRequest request) -> void;
+    auto claimAndCopy(ReplyTo replyTo, CallerRequest request, const Admission &admission) -> void;
+    auto replyFromClaim(const ReplyTo &replyTo, const CallerRequest &request, const Claim &claim)
+        -> void;
+    auto hold(ReplyTo replyTo, CallerRequest request, bool isClaimed, const Admission &admission)
+        -> void;
+    auto sendCopy(std::string_view id) -> void;
+    auto sendForward(std::int64_t forwardId, PendingForward &forward) -> void;
+    auto retryHeld() -> void;
+    auto retryForwards() -> void;
+    auto shareEnd(const Claim &claim) -> void;
+    auto release(const std::string &id) -> void;
+    auto syncWith(const Incarnation &peer) -> void;
+    auto teamOf(const CallerRequest &request) const -> std::string;
+
+    EngineParts                                  &parts_;
+    ClaimTable                                    table_;
+    std::int64_t                                  lastForward_ = 0;
+    std::multimap<std::string, Held>              held_; // By request id.
+    std::map<std::int64_t, PendingForward>        forwards_;
+    std::multimap<std::string, ReplyTo>           waiters_;   // Callers of an id that runs.
+    std::map<Incarnation, Offset>                 unsynced_;  // Peers yet to confirm an epoch.
+    std::map<Incarnation, std::set<std::int64_t>> partsSeen_; // Of the current epoch.
+    TimeMs                                        lastSync_ = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Parts
+//-----------------------------------------------------------------------------
+
+class EngineParts
+{
+public:
+    explicit EngineParts(EngineSettings settings);
+
+    auto refresh() -> void; // Starts what can start after anything has changed.
+
+    Shared    shared;
+    StatePart state;
+    UnitPart  units;
+    QuickPart quick;
+    ClaimPart claims;
+};
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/engine/state_part.cpp
@@ -0,0 +1,350 @@
+#include "engine/engine_internal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr std::size_t kMaxPushRecords = 200;
+constexpr std::size_t kMaxPushBytes = 1'048'576;
+constexpr TimeMs kSnapshotTurnMs = 5'000; // The next member writes if the first hasn't by then.
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] State part: log, peers, members
+//-----------------------------------------------------------------------------
+
+auto StatePart::readFrom() const -> Offset
+{
+    return std::max(parts_.shared.state.applied() + 1, scanFrom_);
+}
+
+// Records older than what is needed may have expired: then only a snapshot helps.
+auto StatePart::onRecord(Offset after, Offset offset, std::string_view text) -> void
+{
+    auto &state = parts_.shared.state;
+    if (offset <= state.applied()) {
+        return;
+    }
+    if (after <= state.applied()) {
+        applyText(after, offset, text);
+        return;
+    }
+    scanFrom_ = offset + 1;
+    const auto  record = decodeRecord(text);
+    const auto *snapshot = record.ok() ? std::get_if<Snapshot>(&*record) : nullptr;
+    if (snapshot != nullptr && snapshot->upTo > state.applied()) {
+        restore(snapshot->state);
+    }
+}
+
+auto StatePart::applyText(Offset after, Offset offset, std::string_view text) -> void
+{
+    auto &shared = parts_.shared;
+    scanFrom_ = 0;
+    keepInTail(after, offset, text);
+    const auto record = decodeRecord(text);
+    if (!record.ok()) {
+        shared.state.skip(offset);
+        shared.emit(Decision{fmt::format("record/{}", offset), "", "", "fold", "",
+                             std::string(record.status().message()), 0});
+        return;
+    }
+    const auto result = shared.state.apply(offset, *record);
+    shared.appended.erase(std::string(recordId(*record)));
+    if (std::holds_alternative<Snapshot>(*record)) {
+        snapshotDueSince_ = 0;
+    }
+    if (result.isApplied) {
+        if (std::holds_alternative<ConfigChange>(*record)) {
+            refreshRules();
+        }
+        afterChange(false);
+    }
+    const auto id = std::string(recordId(*record));
+    shared.emit(Decision{id, "", "", "fold", "", result.isApplied ? "applied" : result.reason, 0});
+}
+
+auto StatePart::restore(std::string_view dump) -> void
+{
+    auto      &state = parts_.shared.state;
+    const auto before = state.applied();
+    const auto status = state.restore(dump);
+    if (!status.ok() || state.applied() == before) {
+        return;
+    }
+    scanFrom_ = 0;
+    tail_.clear();
+    tailBytes_ = 0;
+    refreshRules();
+    afterChange(true);
+}
+
+auto StatePart::refreshRules() -> void
+{
+    parts_.shared.targets.setRules(parts_.shared.state.rules());
+    parts_.quick.refreshShares();
+    parts_.units.setSlotGrants();
+}
+
+auto StatePart::afterChange(bool isJump) -> void
+{
+    auto &shared = parts_.shared;
+    shared.membership.expire(shared.state, shared.now.mono);
+    settleWithGone();
+    refreshGrants();
+    const auto epoch = shared.state.zoneEpoch(shared.settings.zone);
+    if (epoch != zoneEpoch_) {
+        zoneEpoch_ = epoch;
+        parts_.claims.onMembersChanged(isJump);
+    }
+    parts_.units.setSlotGrants();
+    auto addresses = std::vector<std::string>();
+    for (const auto &member : shared.state.members()) {
+        addresses.push_back(member.address);
+    }
+    shared.emit(SetPeers{std::move(addresses)});
+    if (shared.state.isGone(shared.self()) && !hasLeft_) {
+        hasLeft_ = true;
+        shared.isStopping = true;
+        shared.emit(Retire{"the other entries took this one for lost"});
+    }
+}
+
+// Tells the log what was exchanged with each gone entry, so that its units can return.
+auto StatePart::settleWithGone() -> void
+{
+    auto &shared = parts_.shared;
+    auto &ledger = parts_.units.teams();
+    for (const auto &[incarnation, gone] : shared.state.gone()) {
+        ledger.freeze(incarnation);
+        parts_.units.reports().forget(incarnation);
+        if (!gone.awaiting.contains(shared.self())) {
+            ledger.clearFlows(incarnation); // The grants contain them now.
+            continue;
+        }
+        auto settle = MemberSettle{fmt::format("settle/{}/{}", incarnation, shared.self()),
+                                   incarnation,
+                                   shared.self(),
+                                   {}};
+        for (const auto &flow : ledger.flowsWith(incarnation)) {
+            settle.flows.push_back({flow.resource, flow.received, flow.sent});
+        }
+        shared.append(settle);
+    }
+}
+
+auto StatePart::refreshGrants() -> void
+{
+    const auto &shared = parts_.shared;
+    for (const auto &[team, grants] : shared.state.teamGrants()) {
+        parts_.units.teams().setGrant(team, shared.state.grant(team, shared.self()));
+        if (grants.loweredAt != 0) {
+            parts_.units.reports().noteLowered(team, grants.loweredAt, shared.now.mono);
+        }
+    }
+}
+
+auto StatePart::keepInTail(Offset after, Offset offset, std::string_view text) -> void
+{
+    tail_.push_back({after, offset, std::string(text)});
+    tailBytes_ += text.size();
+    while (tailBytes_ > parts_.shared.settings.maxTailBytes && tail_.size() > 1) {
+        tailBytes_ -= tail_.front().text.size();
+        tail_.pop_front();
+    }
+}
+
+auto StatePart::onLogHead(TimeMs asOf) -> void
+{
+    if (scanFrom_ != 0) {
+        return; // The head was reached in search of a snapshot: the state has a gap.
+    }
+    hasSeenHead_ = true;
+    parts_.shared.membership.noteLogHead(asOf);
+}
+
+auto StatePart::onHeartbeat(const Incarnation &from, const Heartbeat &heartbeat) -> void
+{
+    auto &shared = parts_.shared;
+    shared.membership.noteHeard(from, heartbeat.applied, shared.state, shared.now.mono);
+    lastFromPeer_[from] = heartbeat.sentAt;
+    if (heartbeat.echoOf != 0) {
+        shared.membership.noteEcho(from, heartbeat.echoOf);
+        if (heartbeat.applied <= shared.state.applied()) {
+            // The peer's state held the whole log logAgeMs before it sent this, after the echo.
+            shared.membership.noteLogHead(heartbeat.echoOf - heartbeat.logAgeMs);
+        }
+    }
+    parts_.units.reports().noteReport(from, heartbeat.applied, heartbeat.debts);
+    for (const auto &use : heartbeat.used) {
+        parts_.quick.chargeAll(use.team, use.cost);
+    }
+    for (const auto &target : heartbeat.leaving) {
+        shared.targets.markLeaving(target);
+    }
+    auto &reported = outstanding_[from];
+    reported.clear();
+    for (const auto &use : heartbeat.outstanding) {
+        reported[use.target] = use.outstanding;
+    }
+    helpLaggingPeer(from, heartbeat.applied);
+    parts_.units.resendTo(from);
+}
+
+auto StatePart::helpLaggingPeer(const Incarnation &peer, Offset applied) -> void
+{
+    auto &shared = parts_.shared;
+    if (applied >= shared.state.applied()) {
+        return;
+    }
+    if (tail_.empty() || tail_.front().after > applied) {
+        shared.send(peer, StatePush{shared.state.dump()});
+        return;
+    }
+    auto        push = RecordsPush{};
+    std::size_t bytes = 0;
+    for (const auto &entry : tail_) {
+        if (entry.offset <= applied) {
+            continue;
+        }
+        if (push.records.empty()) {
+            push.after = entry.after;
+        }
+        push.records.push_back({entry.offset, entry.text});
+        bytes += entry.text.size();
+        if (push.records.size() >= kMaxPushRecords || bytes > kMaxPushBytes) {
+            break;
+        }
+    }
+    shared.send(peer, std::move(push));
+}
+
+auto StatePart::onRecordsPush(const RecordsPush &push) -> void
+{
+    auto after = push.after;
+    for (const auto &record : push.records) {
+        if (after > parts_.shared.state.applied()) {
+            return;
+        }
+        if (record.offset > parts_.shared.state.applied()) {
+            applyText(after, record.offset, record.text);
+        }
+        after = record.offset;
+    }
+}
+
+auto StatePart::onStatePush(const StatePush &push) -> void
+{
+    restore(push.dump);
+}
+
+auto StatePart::onTick() -> void
+{
+    auto &shared = parts_.shared;
+    shared.membership.expire(shared.state, shared.now.mono);
+    join();
+    if (shared.now.mono - lastHeartbeat_ >= shared.settings.membership.heartbeatMs) {
+        lastHeartbeat_ = shared.now.mono;
+        sendHeartbeats();
+        for (const auto &record : shared.membership.dueRecords(shared.state, shared.now.mono)) {
+            shared.append(record);
+        }
+        auto totals = std::map<std::string, std::int64_t>();
+        for (const auto &[peer, uses] : outstanding_) {
+            for (const auto &[target, outstanding] : uses) {
+                totals[target] +=
+                    shared.membership.isReachable(peer, shared.now.mono) ? outstanding : 0;
+            }
+        }
+        for (const auto &[target, outstanding] : totals) {
+            shared.targets.setReported(target, outstanding);
+        }
+    }
+    writeSnapshotIfDue();
+}
+
+auto StatePart::join() -> void
+{
+    auto      &shared = parts_.shared;
+    const auto isKnown =
+        shared.state.member(shared.self()) != nullptr || shared.state.isGone(shared.self());
+    if (isKnown || !hasSeenHead_ || shared.isStopping) {
+        return;
+    }
+    auto member = Member{};
+    member.incarnation = shared.self();
+    member.zone = shared.settings.zone;
+    member.rack = shared.settings.rack;
+    member.address = shared.settings.peerAddress;
+    shared.append(MemberJoin{fmt::format("join/{}", shared.self()), std::move(member)});
+}
+
+auto StatePart::leave() -> void
+{
+    auto &shared = parts_.shared;
+    if (shared.state.member(shared.self()) != nullptr) {
+        hasLeft_ = true;
+        shared.append(MemberGone{fmt::format("left/{}", shared.self()), shared.self(),
+                                 shared.self(), GoneReason::Left, 0});
+    }
+}
+
+auto StatePart::sendHeartbeats() -> void
+{
+    auto &shared = parts_.shared;
+    auto  heartbeat = Heartbeat{};
+    heartbeat.sentAt = shared.now.mono;
+    heartbeat.applied = shared.state.applied();
+    heartbeat.logAgeMs = shared.membership.logAgeMs(shared.now.mono);
+    heartbeat.debts = parts_.units.teams().debts();
+    for (const auto &[team, cost] : std::exchange(used_, {})) {
+        heartbeat.used.push_back({team, cost});
+    }
+    for (const auto &[name, target] : shared.targets.all()) {
+        if (target.outstanding > 0) {
+            heartbeat.outstanding.push_back({name, target.outstanding});
+        }
+    }
+    heartbeat.leaving = shared.targets.leaving();
+    for (const auto &peer : shared.connected) {
+        const auto last = lastFromPeer_.find(peer);
+        heartbeat.echoOf = last == lastFromPeer_.end() ? 0 : last->second;
+        shared.send(peer, heartbeat);
+    }
+}
+
+auto StatePart::noteUse(std::string_view team, double cost) -> void
+{
+    used_[std::string(team)] += cost;
+}
+
+// Members take turns: the first by rank writes, the next only if nothing came for a while.
+auto StatePart::writeSnapshotIfDue() -> void
+{
+    auto      &shared = parts_.shared;
+    const auto every = static_cast<Offset>(shared.settings.snapshotEvery);
+    const auto applied = shared.state.applied();
+    const auto name = fmt::format("snapshot/{}", shared.state.lastSnapshot());
+    if (applied - shared.state.lastSnapshot() < every || !hasSeenHead_
+        || shared.appended.contains(name)) {
+        return;
+    }
+    if (snapshotDueSince_ == 0) {
+        snapshotDueSince_ = shared.now.mono;
+    }
+    const auto members = shared.state.members();
+    const auto ranked = rankMembers(members, name);
+    const auto turn = std::ranges::find(ranked, shared.self(), &Member::incarnation);
+    const auto waitMs = (turn - ranked.begin()) * kSnapshotTurnMs;
+    if (turn == ranked.end() || shared.now.mono - snapshotDueSince_ < waitMs) {
+        return;
+    }
+    shared.append(Snapshot{name, shared.self(), applied, shared.state.dump()});
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/entry/entry_internal.h
@@ -0,0 +1,223 @@
+// The tasks of an entry. Each owns its sockets and state; signals carry messages between them.
+// Only for the sources of this library.
+//
+// Index of this file
+// [SECTION] Decision task
+// [SECTION] Platform task
+// [SECTION] Peer task
+// [SECTION] Back end task
+// [SECTION] Caller task
+// [SECTION] Operator task
+
+#pragma once
+
+#include "entry/entry.h"
+#include "platform/platform.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace peridotwalk {
+
+// Returns the clocks as an engine takes them.
+auto readClocks() -> Now;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Decision task
+//-----------------------------------------------------------------------------
+
+// Owns the engine. Turns its effects into signals, and writes a log line for each decision.
+class DecisionTask
+{
+public:
+    DecisionTask(EventLoop &loop, const EntrySettings &settings, Incarnation incarnation);
+
+    // Commands. Each event goes to the engine, and its effects are carried out.
+    auto handle(const std::function<void(Engine &, Now)> &event) -> void;
+
+    // Queries.
+    auto engine() const -> const Engine & { return engine_; }
+    auto explain(std::string_view requestId) const -> std::vector<std::pair<TimeMs, Decision>>;
+    auto registry() const -> const std::shared_ptr<prometheus::Registry> & { return registry_; }
+
+    sigc::signal<void(const ConnectTarget &)> connectTarget;
+    sigc::signal<void(const CallTarget &)>    callTarget;
+    sigc::signal<void(const DropAttempt &)>   dropAttempt;
+    sigc::signal<void(const ReplyCaller &)>   replyCaller;
+    sigc::signal<void(const SendPeer &)>      sendPeer;
+    sigc::signal<void(const AppendRecord &)>  appendRecord;
+    sigc::signal<void(const SetPeers &)>      setPeers;
+    sigc::signal<void(const Retire &)>        retire;
+
+private:
+    auto carryOut(const Effect &effect) -> void;
+    auto note(const Decision &decision) -> void;
+
+    Engine                                   engine_;
+    std::size_t                              maxExplained_;
+    std::deque<std::pair<TimeMs, Decision>>  explained_; // Oldest first.
+    std::shared_ptr<prometheus::Registry>    registry_;
+    prometheus::Family<prometheus::Counter> &decisions_;
+    prometheus::Family<prometheus::Counter> &replies_;
+    std::unique_ptr<Timer>                   tick_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Platform task
+//-----------------------------------------------------------------------------
+
+// Follows the log and the instance list, and appends until the log confirms.
+class PlatformTask
+{
+public:
+    PlatformTask(EventLoop &loop, const EntrySettings &settings, DecisionTask &decisions);
+
+    auto append(const AppendRecord &record) -> void;
+
+    // Queries.
+    auto listedInstances() const -> std::size_t { return listed_; }
+
+private:
+    auto readLog() -> void;
+    auto onPage(TimeMs asOf, absl::StatusOr<LogPage> page) -> void;
+    auto readList() -> void;
+    auto onList(absl::StatusOr<std::vector<InstanceEntry>> list) -> void;
+    auto sendAppends() -> void;
+
+    DecisionTask                      &decisions_;
+    ConnectionPool                     pool_;
+    std::unique_ptr<LogService>        log_;
+    std::unique_ptr<InstanceList>      list_;
+    std::map<std::string, std::string> appends_; // Not yet confirmed, by record id.
+    std::set<std::string>              onTheWay_;
+    std::size_t                        listed_ = 0;
+    bool                               isReading_ = false;
+    bool                               isListing_ = false;
+    std::unique_ptr<Timer>             logTimer_;
+    std::unique_ptr<Timer>             listTimer_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Peer task
+//-----------------------------------------------------------------------------
+
+class PeerLink;
+
+// Keeps a connection to each peer for sending, and accepts theirs for receiving.
+class PeerTask
+{
+public:
+    PeerTask(EventLoop &loop, const EntrySettings &settings, Incarnation incarnation,
+             DecisionTask &decisions);
+    ~PeerTask();
+    PeerTask(const PeerTask &) = delete;
+    auto operator=(const PeerTask &) -> PeerTask & = delete;
+
+    auto listen() -> absl::Status;
+    auto setPeers(const SetPeers &peers) -> void;
+    auto send(const SendPeer &message) -> void;
+
+private:
+    friend class PeerLink;
+
+    static auto onAccept(evconnlistener *listener, int socket, sockaddr *address, int length,
+                         void *self) -> void;
+    auto        connectMissing() -> void;
+    auto        onLinkHello(PeerLink &link, const Hello &hello) -> void;
+    auto        onLinkClosed(PeerLink &link) -> void;
+
+    EventLoop                                       &loop_;
+    const EntrySettings                             &settings_;
+    Incarnation                                      self_;
+    DecisionTask                                    &decisions_;
+    evconnlistener                                  *listener_ = nullptr;
+    std::set<std::string>                            addresses_;
+    std::map<std::string, std::unique_ptr<PeerLink>> outgoing_; // By address.
+    std::map<Incarnation, PeerLink *, std::less<>>   byPeer_;   // Outgoing links after the Hello.
+    std::vector<std::unique_ptr<PeerLink>>           incoming_;
+    std::unique_ptr<Timer>                           connectTimer_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Back end task
+//-----------------------------------------------------------------------------
+
+// Calls targets on pooled connections: connect, ask the engine, then write.
+class BackEndTask
+{
+public:
+    BackEndTask(EventLoop &loop, DecisionTask &decisions);
+
+    auto connect(const ConnectTarget &target) -> void;
+    auto call(const CallTarget &call) -> void;
+    auto drop(const DropAttempt &attempt) -> void;
+
+private:
+    auto end(AttemptId attempt, AttemptEnd end) -> void;
+
+    DecisionTask                           &decisions_;
+    ConnectionPool                          pool_;
+    std::map<AttemptId, PooledConnection *> ready_; // Connected, not called yet.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Caller task
+//-----------------------------------------------------------------------------
+
+// Accepts callers' HTTP requests.
+class CallerTask
+{
+public:
+    CallerTask(EventLoop &loop, const EntrySettings &settings, DecisionTask &decisions);
+
+    auto listen() -> absl::Status;
+    auto reply(const ReplyCaller &reply) -> void;
+    auto stopAccepting() -> void { server_.stopAccepting(); }
+    auto open() const -> std::size_t { return server_.open(); }
+
+private:
+    auto onRequest(const HttpRequest &request) -> void;
+    auto onQuick(const HttpRequest &request, std::string_view service) -> void;
+    auto refuse(ExchangeId id, std::string_view step, std::string_view reason, int status) -> void;
+
+    const EntrySettings &settings_;
+    DecisionTask        &decisions_;
+    HttpServer           server_;
+    std::int64_t         lastGenerated_ = 0;
+};
+
+// Turns a reply of the engine into HTTP.
+auto toHttpReply(const Reply &reply) -> HttpReply;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Operator task
+//-----------------------------------------------------------------------------
+
+// Answers operators' queries and takes their changes.
+class OperatorTask
+{
+public:
+    OperatorTask(EventLoop &loop, const EntrySettings &settings, DecisionTask &decisions,
+                 PlatformTask &platform);
+
+    auto listen() -> absl::Status;
+
+private:
+    auto onRequest(const HttpRequest &request) -> void;
+    auto answerQuery(const HttpRequest &request) const -> HttpReply;
+    auto takeChange(const HttpRequest &request) -> HttpReply;
+    auto metrics() const -> HttpReply;
+
+    const EntrySettings &settings_;
+    DecisionTask        &decisions_;
+    PlatformTask        &platform_;
+    HttpServer           server_;
+};
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,273 @@
+// The state that all entries share: a fold over the records of the platform's log.
+//
+// Every entry applies the same records in offset order and so reaches the same state. A record
+// that lost a race is inert for everyone. Nothing here reads a clock or a socket.
+//
+//   auto state = FleetState();
+//   const auto result = state.apply(offset, record);
+//   if (!result.isApplied) { LOG(INFO) << result.reason; }
+//
+// Index of this file
+// [SECTION] Records
+// [SECTION] Record text
+// [SECTION] Members
+// [SECTION] Long tasks
+// [SECTION] Fleet state
+
+#pragma once
+
+#include "config/config.h"
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Records
+//-----------------------------------------------------------------------------
+
+// Operators change rules. Taken whole or not at all.
+struct ConfigChange {
+    std::string           id;     // Unique. The same id again is inert.
+    std::string           author; // Who to tell of a conflict.
+    std::vector<RuleEdit> edits;
+};
+
+// An entry as the others know it.
+struct Member {
+    Incarnation incarnation;     // "entry-1#5f0c2a"
+    std::string zone;            // "suva-1"
+    std::string rack;            // Failure domain inside the zone.
+    std::string address;         // Peer address, "127.0.0.1:7101".
+    Offset      joinedAt = 0;    // Offset of the join record.
+    Offset      joinedAfter = 0; // Epoch of the zone before the join, 0 if it was the first ever.
+    Offset      suspectedAt = 0; // Offset of an unrefuted suspicion, 0 for none.
+};
+
+struct MemberJoin {
+    std::string id;
+    Member      member;
+};
+
+// An entry hasn't been heard for a while. The first half of an eviction.
+struct MemberSuspect {
+    std::string id;
+    Incarnation incarnation;
+    Incarnation by;
+};
+
+// Somebody has heard the suspected entry after all.
+struct MemberRefute {
+    std::string id;
+    Incarnation incarnation;
+    Incarnation by;
+};
+
+enum class GoneReason {
+    Left,   // It stopped as planned and runs nothing.
+    Listed, // The platform lists it as gone, and what it started has ended.
+    Silent, // It was suspected for the whole grace and has fenced itself.
+};
+
+// An entry is no member any more. Its allowance returns once all others have settled.
+struct MemberGone {
+    std::string id;
+    Incarnation incarnation;
+    Incarnation by;
+    GoneReason  reason = GoneReason::Silent;
+    Offset      suspicion = 0; // For Silent: the suspicion that stayed unrefuted.
+};
+
+// What moved between one entry and one that is gone.
+struct TeamFlow {
+    std::string  team;
+    std::int64_t received = 0; // Units that `by` got from the gone entry.
+    std::int64_t sent = 0;     // Units that `by` gave to the gone entry.
+};
+
+struct MemberSettle {
+    std::string           id;
+    Incarnation           gone;
+    Incarnation           by;
+    std::vector<TeamFlow> flows;
+};
+
+enum class TaskEventKind { Submitted, Started, Requeued, Ended, Cancelled };
+
+// What a long task asks for.
+struct TaskSpec {
+    std::string  team;
+    std::string  service;
+    std::string  payload; // Handed to the worker as it came.
+    std::int64_t cpus = 1;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t expectedMs = 60'000; // Declared run time. Often far off.
+    bool         isRepeatable = true;
+    bool         isUrgent = false;
+};
+
+struct TaskEvent {
+    TaskEventKind kind = TaskEventKind::Submitted;
+    std::string   taskId;      // "zone/uuid"
+    std::int64_t  attempt = 0; // Started, Requeued, Ended: which attempt.
+    std::string   worker;      // Started.
+    std::string   note;        // Requeued: checkpoint. Ended: result.
+    TaskSpec      spec;        // Submitted.
+};
+
+// All task events of one entry since its last batch.
+struct TaskBatch {
+    std::string            id;
+    Incarnation            by;
+    std::vector<TaskEvent> events;
+};
+
+// The whole state up to an offset, so that older records may expire.
+struct Snapshot {
+    std::string id;
+    Incarnation by;
+    Offset      upTo = 0;
+    std::string state; // FleetState::dump()
+};
+
+using Record = std::variant<ConfigChange, MemberJoin, MemberSuspect, MemberRefute, MemberGone,
+                            MemberSettle, TaskBatch, Snapshot>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Record text
+//-----------------------------------------------------------------------------
+
+constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
+
+// Returns the JSON text that goes to the log.
+auto encodeRecord(const Record &record) -> std::string;
+
+// Parses a record of the log. Errors carry the step "record" and the field.
+auto decodeRecord(std::string_view text) -> absl::StatusOr<Record>;
+
+auto recordId(const Record &record) -> std::string_view;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Members
+//-----------------------------------------------------------------------------
+
+// An entry that is gone, and the members that have yet to tell what they exchanged with it.
+struct GoneMember {
+    Incarnation           incarnation;
+    std::set<Incarnation> awaiting;
+};
+
+// Orders members for `key` by rendezvous hash. The order of the others stays when one goes.
+auto rankMembers(std::span<const Member> members, std::string_view key)
+    -> std::vector<const Member *>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Long tasks
+//-----------------------------------------------------------------------------
+
+enum class TaskPhase { Waiting, Running, Ended };
+
+struct Task {
+    std::string  id;
+    TaskSpec     spec;
+    TaskPhase    phase = TaskPhase::Waiting;
+    std::int64_t attempt = 0; // 0 before the first start.
+    Offset       submittedAt = 0;
+    Incarnation  holder = {}; // Running: the entry that renews the lease.
+    std::string  worker = {}; // Running: where.
+    std::string  note = {};   // Waiting: last checkpoint. Ended: result.
+    bool         isCancelled = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Fleet state
+//-----------------------------------------------------------------------------
+
+constexpr std::size_t kMaxSeenRecordIds = 4'096;
+constexpr std::size_t kMaxGoneMembers = 2'000; // Settled ones beyond that are forgotten.
+constexpr std::size_t kMaxEndedTasks = 5'000;
+constexpr std::size_t kMaxWaitingTasks = 50'000;
+
+struct ApplyResult {
+    bool        isApplied = false;
+    std::string reason = {}; // Why the record is inert.
+};
+
+// How many units of one team's limit each member was granted by the log.
+struct TeamGrants {
+    std::int64_t                        limit = 0;     // In force. 0 after the team's rule went.
+    std::int64_t                        pot = 0;       // Granted to nobody yet. Below 0: owed.
+    Offset                              loweredAt = 0; // When the limit last fell. 0: never.
+    std::map<Incarnation, std::int64_t> grants;        // May be below 0: that member owes units.
+};
+
+class FleetState
+{
+public:
+    // Commands.
+    auto apply(Offset offset, const Record &record) -> ApplyResult; // offset > applied()
+    auto skip(Offset offset) -> void;                      // A record that can't be decoded.
+    auto restore(std::string_view dumped) -> absl::Status; // Only moves forward.
+
+    // Queries.
+    auto applied() const -> Offset { return applied_; }
+    auto rules() const -> const RuleTable & { return rules_; }
+    auto members() const -> std::vector<Member>;
+    auto membersOf(std::string_view zone) const -> std::vector<Member>;
+    auto member(std::string_view incarnation) const -> const Member *;
+    auto isGone(std::string_view incarnation) const -> bool;
+    auto gone() const -> const std::map<Incarnation, GoneMember> & { return gone_; }
+    auto zoneEpoch(std::string_view zone) const -> Offset; // Offset of its last change of members.
+    auto grantsOf(std::string_view team) const -> const TeamGrants *;
+    auto teamGrants() const -> const std::map<std::string, TeamGrants, std::less<>> &
+    {
+        return teams_;
+    }
+    auto grant(std::string_view team, std::string_view incarnation) const -> std::int64_t;
+    auto task(std::string_view id) const -> const Task *;
+    auto tasks() const -> const std::map<std::string, Task, std::less<>> & { return tasks_; }
+    auto findOutcome(std::string_view recordId) const -> const ApplyResult *; // Null: not seen.
+    auto lastSnapshot() const -> Offset { return lastSnapshot_; } // Of its record. 0: none yet.
+    auto dump() const -> std::string;                             // JSON that restore() takes.
+
+private:
+    auto applyBody(Offset offset, const ConfigChange &change) -> ApplyResult;
+    auto applyBody(Offset offset, const MemberJoin &join) -> ApplyResult;
+    auto applyBody(Offset offset, const MemberSuspect &suspect) -> ApplyResult;
+    auto applyBody(Offset offset, const MemberRefute &refute) -> ApplyResult;
+    auto applyBody(Offset offset, const MemberGone &gone) -> ApplyResult;
+    auto applyBody(Offset offset, const MemberSettle &settle) -> ApplyResult;
+    auto applyBody(Offset offset, const TaskBatch &batch) -> ApplyResult;
+    auto applyBody(Offset offset, const Snapshot &snapshot) -> ApplyResult;
+
+    auto checkEdits(std::span<const RuleEdit> edits, std::vector<Rule> &rules) const -> ApplyResult;
+    auto checkReferences(std::span<const RuleEdit> edits) const -> ApplyResult;
+    auto setRules(std::span<const RuleEdit> edits, std::span<const Rule> rules, Offset offset)
+        -> void;
+    auto setLimit(const std::string &team, std::int64_t limit, Offset offset) -> void;
+    auto sharePot(const std::string &team, TeamGrants &grants) -> void;
+    auto returnGoneGrants() -> void;
+    auto forgetOldGone() -> void;
+    auto requeueTasksOf(const Incarnation &holder) -> void;
+    auto applyTaskEvent(Offset offset, const Incarnation &by, const TaskEvent &event) -> void;
+    auto endTask(Task &task, std::string note) -> void;
+    auto rememberOutcome(std::string_view id, const ApplyResult &result) -> void;
+
+    Offset                                         applied_ = 0;
+    Offset                                         lastSnapshot_ = 0;
+    RuleTable                                      rules_;
+    std::map<Incarnation, Member, std::less<>>     members_;
+    std::map<Incarnation, GoneMember>              gone_;
+    std::deque<Incarnation>                        goneOrder_; // Oldest first.
+    std::map<std::string, Offset, std::less<>>     zoneEpochs_;
+    std::map<std::string, TeamGrants, std::less<>> teams_;
+    std::map<std::string, Task, std::less<>>       tasks_;
+    std::deque<std::string>                        endedTasks_; // Oldest first.
+    std::unordered_map<std::string, ApplyResult>   outcomes_;
+    std::deque<std::string>                        outcomeOrder_; // Oldest first.
+};
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/http/event_loop.cpp
@@ -0,0 +1,109 @@
+#include "http/http.h"
+
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+
+#include <chrono>
+#include <utility>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kMsPerSecond = 1'000;
+
+auto toTimeval(TimeMs ms) -> timeval
+{
+    return {static_cast<time_t>(ms / kMsPerSecond),
+            static_cast<suseconds_t>(ms % kMsPerSecond * kMsPerSecond)};
+}
+
+auto runPosted(evutil_socket_t /*socket*/, short /*events*/, void *task) -> void
+{
+    const auto owned =
+        std::unique_ptr<std::function<void()>>(static_cast<std::function<void()> *>(task));
+    (*owned)();
+}
+
+auto runTimer(evutil_socket_t /*socket*/, short /*events*/, void *slot) -> void
+{
+    (*static_cast<std::function<void()> *>(slot))();
+}
+
+template <typename Clock>
+auto clockMs() -> std::int64_t
+{
+    const auto passed = Clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Event loop
+//-----------------------------------------------------------------------------
+
+EventLoop::EventLoop() : base_(event_base_new()) { }
+
+EventLoop::~EventLoop()
+{
+    event_base_free(base_);
+}
+
+auto EventLoop::run() -> void
+{
+    event_base_dispatch(base_);
+}
+
+auto EventLoop::stop() -> void
+{
+    event_base_loopbreak(base_);
+}
+
+auto EventLoop::post(std::function<void()> task, TimeMs afterMs) -> void
+{
+    const auto delay = toTimeval(afterMs);
+    auto       owned = std::make_unique<std::function<void()>>(std::move(task));
+    event_base_once(base_, -1, EV_TIMEOUT, runPosted, owned.release(), &delay);
+}
+
+Timer::Timer(EventLoop &loop, TimeMs everyMs, std::function<void()> slot)
+    : slot_(std::move(slot)), event_(event_new(loop.base(), -1, EV_PERSIST, runTimer, &slot_))
+{
+    const auto interval = toTimeval(everyMs);
+    event_add(event_, &interval);
+}
+
+Timer::~Timer()
+{
+    event_free(event_);
+}
+
+auto monotonicMs() -> TimeMs
+{
+    return clockMs<std::chrono::steady_clock>();
+}
+
+auto wallMs() -> std::int64_t
+{
+    return clockMs<std::chrono::system_clock>();
+}
+
+auto parseEndpoint(std::string_view address) -> absl::StatusOr<Endpoint>
+{
+    const auto colon = address.rfind(':');
+    const auto host = std::string(address.substr(0, colon));
+    const auto port =
+        colon == std::string_view::npos ? std::nullopt : parseInteger(address.substr(colon + 1));
+    auto           parsed = in_addr{};
+    constexpr auto kMaxPort = 65'535;
+    const auto     isHost = inet_pton(AF_INET, host.c_str(), &parsed) == 1;
+    if (!isHost || !port || *port < 0 || *port > kMaxPort) {
+        return makeError(absl::StatusCode::kInvalidArgument, "address", address,
+                         "an address is an IPv4 number, a colon and a port");
+    }
+    return Endpoint{host, static_cast<std::uint16_t>(*port)};
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,216 @@
+#include "membership/membership.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kNever = std::numeric_limits<TimeMs>::max() / 2;
+
+auto badTimes(std::string_view names) -> absl::Status
+{
+    return makeError(absl::StatusCode::kInvalidArgument, "settings", "membership", names);
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+auto checkMembershipSettings(const MembershipSettings &settings) -> absl::Status
+{
+    if (settings.heartbeatMs * 2 > settings.suspectAfterMs) {
+        return badTimes("heartbeat_ms must be at most half of suspect_after_ms");
+    }
+    if (settings.suspectAfterMs >= settings.fenceLogMs) {
+        return badTimes("suspect_after_ms must be below fence_log_ms");
+    }
+    if (settings.fenceLogMs + settings.maxRunMs >= settings.evictGraceMs) {
+        return badTimes("fence_log_ms + max_run_ms must be below evict_grace_ms");
+    }
+    if (settings.fencePeersMs + settings.maxRunMs >= settings.evictUnheardMs) {
+        return badTimes("fence_peers_ms + max_run_ms must be below evict_unheard_ms");
+    }
+    return absl::OkStatus();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Membership table
+//-----------------------------------------------------------------------------
+
+MembershipTable::MembershipTable(Incarnation self, const MembershipSettings &settings)
+    : self_(std::move(self)), settings_(settings)
+{
+}
+
+auto MembershipTable::noteHeard(const Incarnation &peer, Offset peerApplied,
+                                const FleetState &state, TimeMs now) -> void
+{
+    auto &entry = peers_.try_emplace(peer, Peer{.knownAt = now}).first->second;
+    entry.heardAt = std::max(entry.heardAt, now);
+    entry.applied = std::max(entry.applied, peerApplied);
+    const auto *self = state.member(self_);
+    entry.wasHeard = entry.wasHeard || (self != nullptr && peerApplied >= self->joinedAt);
+}
+
+auto MembershipTable::noteEcho(const Incarnation &peer, TimeMs sentAt) -> void
+{
+    const auto found = peers_.find(peer);
+    if (found != peers_.end()) {
+        found->second.echoedAt = std::max(found->second.echoedAt, sentAt);
+        found->second.wasEchoed = true;
+    }
+}
+
+auto MembershipTable::noteLogHead(TimeMs asOf) -> void
+{
+    logAsOf_ = hasLog_ ? std::max(logAsOf_, asOf) : asOf;
+    hasLog_ = true;
+}
+
+auto MembershipTable::noteListedGone(std::string_view entry) -> void
+{
+    listedGone_.insert(std::string(entry));
+}
+
+auto MembershipTable::noteListedLive(std::string_view entry) -> void
+{
+    listedGone_.erase(std::string(entry));
+}
+
+auto MembershipTable::expire(const FleetState &state, TimeMs now) -> void
+{
+    std::erase_if(peers_, [&](const auto &entry) { return state.isGone(entry.first); });
+    for (const auto &member : state.members()) {
+        auto &peer = peers_.try_emplace(member.incarnation, Peer{.heardAt = now, .knownAt = now})
+                         .first->second;
+        if (peer.suspicion != member.suspectedAt) {
+            peer.suspicion = member.suspectedAt;
+            peer.suspectedAt = now;
+        }
+    }
+}
+
+auto MembershipTable::isReachable(const Incarnation &peer, TimeMs now) const -> bool
+{
+    const auto found = peers_.find(peer);
+    return found != peers_.end() && now - found->second.heardAt < settings_.suspectAfterMs;
+}
+
+auto MembershipTable::appliedOf(const Incarnation &peer) const -> Offset
+{
+    const auto found = peers_.find(peer);
+    return found == peers_.end() ? 0 : found->second.applied;
+}
+
+auto MembershipTable::logAgeMs(TimeMs now) const -> TimeMs
+{
+    return hasLog_ ? now - logAsOf_ : kNever;
+}
+
+// Safe as long as no eviction of this entry can be in the log. An eviction needs a suspicion that
+// stood for the grace. Either the log held none a short while ago, or every possible writer has
+// heard this entry since. The second ends after fencePeersMs: a later member may be unknown here.
+auto MembershipTable::mayStartLimited(const FleetState &state, TimeMs now) const -> bool
+{
+    const auto *self = state.member(self_);
+    if (self == nullptr || self->suspectedAt != 0) {
+        return false;
+    }
+    const auto age = logAgeMs(now);
+    if (age <= settings_.fenceLogMs) {
+        return true;
+    }
+    return age <= settings_.fencePeersMs && allMembersEchoed(state, now);
+}
+
+auto MembershipTable::allMembersEchoed(const FleetState &state, TimeMs now) const -> bool
+{
+    const auto members = state.members();
+    return std::ranges::all_of(members, [&](const Member &member) {
+        const auto found = peers_.find(member.incarnation);
+        return member.incarnation == self_
+            || (found != peers_.end() && found->second.wasEchoed
+                && now - found->second.echoedAt <= settings_.fenceLogMs);
+    });
+}
+
+auto MembershipTable::dueRecords(const FleetState &state, TimeMs now) const -> std::vector<Record>
+{
+    auto        records = std::vector<Record>();
+    const auto *self = state.member(self_);
+    if (self == nullptr) {
+        return records;
+    }
+    if (self->suspectedAt != 0) {
+        records.emplace_back(MemberRefute{
+            fmt::format("refute/{}/{}/{}", self_, self->suspectedAt, self_), self_, self_});
+    }
+    for (const auto &member : state.members()) {
+        const auto found = peers_.find(member.incarnation);
+        if (member.incarnation == self_ || found == peers_.end()) {
+            continue;
+        }
+        if (auto record = dueRecordOf(state, member, found->second, now)) {
+            records.push_back(*std::move(record));
+        }
+    }
+    return records;
+}
+
+auto MembershipTable::dueRecordOf(const FleetState &state, const Member &member, const Peer &peer,
+                                  TimeMs now) const -> std::optional<Record>
+{
+    const auto &name = member.incarnation;
+    const auto  silence = now - peer.heardAt;
+    const auto  isDead = isReplaced(state, member) || listedGone_.contains(entryName(name));
+    if (isDead && silence >= std::max(settings_.maxRunMs, settings_.suspectAfterMs)) {
+        return MemberGone{fmt::format("gone/{}/{}", name, self_), name, self_, GoneReason::Listed,
+                          0};
+    }
+    if (silence < settings_.suspectAfterMs) {
+        if (member.suspectedAt == 0) {
+            return std::nullopt;
+        }
+        return MemberRefute{fmt::format("refute/{}/{}/{}", name, member.suspectedAt, self_), name,
+                            self_};
+    }
+    if (member.suspectedAt == 0) {
+        const auto isTooSoon =
+            peer.suspectedAt != 0 && now - peer.suspectedAt < settings_.evictGraceMs / 4;
+        if (isTooSoon) {
+            return std::nullopt;
+        }
+        return MemberSuspect{fmt::format("suspect/{}/{}/{}", name, peer.suspectedAt, self_), name,
+                             self_};
+    }
+    if (!mayEvict(peer, now)) {
+        return std::nullopt;
+    }
+    return MemberGone{fmt::format("gone/{}/{}/{}", name, member.suspectedAt, self_), name, self_,
+                      GoneReason::Silent, member.suspectedAt};
+}
+
+// A later life at the same address holds the port, so the earlier process has ended.
+auto MembershipTable::isReplaced(const FleetState &state, const Member &member) const -> bool
+{
+    const auto members = state.members();
+    return std::ranges::any_of(members, [&](const Member &other) {
+        return other.joinedAt > member.joinedAt && other.address == member.address
+            && entryName(other.incarnation) == entryName(member.incarnation);
+    });
+}
+
+auto MembershipTable::mayEvict(const Peer &peer, TimeMs now) const -> bool
+{
+    const auto since = std::max(peer.suspectedAt, peer.heardAt);
+    const auto grace = peer.wasHeard ? settings_.evictGraceMs : settings_.evictUnheardMs;
+    return now - since >= grace;
+}
+
+} // namespace peridotwalk
