Make not-run final for an id, and keep fewer ids unknown after a replacement

A refusal is now kept under the id and confirmed by the copy holder before the caller hears not-run; otherwise the answer is unknown. Cause 2: a replaced entry took all ids for lost because the life before it never handed over. Its claims also stand at the other holder, so only epochs whose both holders went are lost now, and a joining entry checks the epoch before its join as well.

--- a/src/claims/claims.cpp
+++ b/src/claims/claims.cpp
@@ -119,16 +119,20 @@
 }
 
 // Claims of an epoch are where its holders are, or still on their way if it never got ready here.
+// So each epoch since the last ready one is checked, and for a joining entry the one before it.
 auto ClaimTable::noteLosses(const ZoneEpoch &next, bool isJump, WallMs now) -> void
 {
     const auto self = std::ranges::find(next.members, self_, &Member::incarnation);
-    const auto isAwaitedGone = std::ranges::any_of(
-        awaiting_, [&](const Incarnation &awaited) { return !hasMember(next.members, awaited); });
     const auto isFirstHere = current_.epoch == 0;
+    if (isFirstHere) {
+        auto others = next.members;
+        std::erase_if(others, [&](const Member &member) { return member.incarnation == self_; });
+        unsettled_.push_back({self->joinedAfter, std::move(others)});
+    }
     const auto isAlone = next.members.size() == 1;
     const auto hadOthersBefore = isFirstHere && isAlone && self->joinedAfter != 0;
-    const auto hasGap = !isFirstHere && (isJump || (!wasReady_ && isAwaitedGone));
-    if (hadOthersBefore || hasGap) {
+    const auto missedEpochs = isFirstHere ? next.epoch != self->joinedAt : isJump;
+    if (hadOthersBefore || missedEpochs) {
         lost_.push_back({{}, next.epoch, {}, now});
     }
     for (const auto &before : unsettled_) {
@@ -147,7 +151,6 @@
 auto ClaimTable::noteReady() -> void
 {
     if (isReady()) {
-        wasReady_ = true;
         unsettled_ = {current_};
     }
 }
@@ -167,22 +170,16 @@
     return true;
 }
 
-auto ClaimTable::release(std::string_view id) -> void
+auto ClaimTable::refuse(std::string_view id, std::string_view team, WallMs now) -> bool
 {
-    const auto found = claims_.find(id);
-    if (found != claims_.end() && found->second.phase == ClaimPhase::Claimed) {
-        claims_.erase(found);
+    if (find(id) == nullptr && !claim(id, team, now)) {
+        return false;
     }
-}
-
-auto ClaimTable::dropCopy(std::string_view id, const Incarnation &runner, std::int64_t sequence)
-    -> void
-{
-    const auto found = claims_.find(id);
-    if (found != claims_.end() && found->second.phase == ClaimPhase::Claimed
-        && found->second.runner == runner && found->second.sequence == sequence) {
-        claims_.erase(found);
+    auto &refused = claims_.find(id)->second;
+    if (refused.phase == ClaimPhase::Claimed && refused.runner == self_) {
+        refused.phase = ClaimPhase::Refused;
     }
+    return refused.phase == ClaimPhase::Refused;
 }
 
 auto ClaimTable::finish(std::string_view id, std::optional<Answer> answer) -> void
@@ -285,6 +282,8 @@
             return ClaimLookup::Answered;
         case ClaimPhase::Unknown:
             return ClaimLookup::Unknown;
+        case ClaimPhase::Refused:
+            return ClaimLookup::Refused;
         }
     }
     if (now - mintedAt > settings_.windowMs || isLost(id, mintedAt)) {
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -56,6 +56,7 @@
     Claimed,  // The home may start it, or may have.
     Answered, // The whole answer came.
     Unknown,  // It may have run. The answer was lost.
+    Refused,  // It never ran and never will under this id.
 };
 
 // What a target answered.
@@ -109,6 +110,7 @@
     Elsewhere, // Claimed by an entry that may still run it.
     Answered,  // find() has the answer.
     Unknown,   // It may have run.
+    Refused,   // It never ran and never will.
     NotReady,  // Some survivor hasn't handed over its claims yet.
 };
 
@@ -121,9 +123,9 @@
     auto setMembers(ZoneEpoch next, bool isJump, WallMs now) -> void; // After each record that
         // changed the zone's members. `isJump`: epochs in between weren't seen here.
     auto claim(std::string_view id, std::string_view team, WallMs now)
-        -> bool;                               // False: the table is full.
-    auto release(std::string_view id) -> void; // It was never started.
-    auto dropCopy(std::string_view id, const Incarnation &runner, std::int64_t sequence) -> void;
+        -> bool; // False: the table is full.
+    auto refuse(std::string_view id, std::string_view team, WallMs now) -> bool; // False: full, or
+        // it may have run. From now on the id never runs here.
     auto finish(std::string_view id, std::optional<Answer> answer) -> void;
     auto store(Claim claim) -> void; // A copy, or handed over by a survivor.
     auto noteSynced(const Incarnation &survivor, Offset epoch) -> void;
@@ -153,7 +155,6 @@
     ClaimSettings                             settings_;
     ZoneEpoch                                 current_;
     std::vector<ZoneEpoch>                    unsettled_; // The last that was ready, and all since.
-    bool                                      wasReady_ = false;
     std::set<Incarnation>                     awaiting_; // Survivors that haven't handed over yet.
     std::vector<LostEpoch>                    lost_;
     std::map<std::string, Claim, std::less<>> claims_;
--- a/src/engine/claim_part.cpp
+++ b/src/engine/claim_part.cpp
@@ -1,5 +1,7 @@
 #include "engine/engine_internal.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace peridotwalk {
@@ -9,6 +11,7 @@
 constexpr std::size_t kClaimsPerSync = 500;
 constexpr TimeMs      kSyncRetryMs = 500;
 constexpr TimeMs      kForwardRetryMs = 1'000;
+constexpr TimeMs      kRefusalWaitMs = 500; // For the copy holder to confirm a refusal.
 
 } // namespace
 
@@ -28,15 +31,12 @@
     auto      &shared = parts_.shared;
     const auto parsed = parseRequestId(request.id);
     if (!parsed.ok()) {
-        parts_.quick.reply(replyTo,
-                           shared.refusal(Outcome::NotRun, "request-id", request.id,
-                                          std::string(parsed.status().message())));
+        replyNotRun(replyTo, request, "request-id", std::string(parsed.status().message()));
         return;
     }
     if (shared.state.rules().zone(parsed->zone) == nullptr) {
-        parts_.quick.reply(
-            replyTo,
-            shared.refusal(Outcome::NotRun, "request-id", parsed->zone, "there is no such zone"));
+        replyUnknown(replyTo, request, "request-id", parsed->zone,
+                     "the home zone of the id is gone");
         return;
     }
     const auto members = shared.state.membersOf(parsed->zone);
@@ -123,24 +123,24 @@
         return;
     }
     if (lookup == ClaimLookup::Unknown) {
-        parts_.quick.reply(replyTo,
-                           shared.refusal(Outcome::Unknown, "claim", shared.self(),
-                                          "the id is too old, or its claim was lost"));
+        replyUnknown(replyTo, request, "claim", shared.self(),
+                     "the id is too old, or its claim was lost");
         return;
     }
-    if (lookup == ClaimLookup::NotReady || shared.state.member(shared.self()) == nullptr) {
-        hold(std::move(replyTo), std::move(request), false, {});
+    if (lookup == ClaimLookup::NotReady) {
+        const auto timeoutMs = request.timeoutMs;
+        hold(HeldFor::Ready, std::move(replyTo), std::move(request), timeoutMs);
         return;
     }
     if (mintedAt > shared.now.wall + shared.settings.claims.clockSkewMs) {
-        parts_.quick.reply(replyTo,
-                           shared.refusal(Outcome::NotRun, "request-id", request.id,
-                                          "the id was minted in the future"));
+        auto refusal = shared.refusal(Outcome::NotRun, "request-id", request.id,
+                                      "the id was minted in the future");
+        refuseForever(std::move(replyTo), std::move(request), std::move(refusal));
         return;
     }
     auto checked = parts_.quick.check(request);
     if (auto *refused = std::get_if<Reply>(&checked)) {
-        parts_.quick.reply(replyTo, std::move(*refused));
+        refuseForever(std::move(replyTo), std::move(request), std::move(*refused));
         return;
     }
     claimAndCopy(std::move(replyTo), std::move(request), std::get<Admission>(checked));
@@ -149,28 +149,24 @@
 auto ClaimPart::claimAndCopy(ReplyTo replyTo, CallerRequest request, const Admission &admission)
     -> void
 {
-    auto &shared = parts_.shared;
+    auto      &shared = parts_.shared;
+    const auto notRun = [&](std::string_view step, std::string_view reason) {
+        refuseForever(std::move(replyTo), std::move(request),
+                      shared.refusal(Outcome::NotRun, step, shared.self(), reason));
+    };
     if (table_.holders(request.id).copy.empty()) {
-        parts_.quick.reply(replyTo,
-                           shared.refusal(Outcome::NotRun, "claim", shared.self(),
-                                          "the zone has no second entry to hold a copy"));
-        return;
-    }
-    if (!shared.mayStartForTeams()) {
-        parts_.quick.reply(
-            replyTo,
-            shared.refusal(Outcome::NotRun, "fence", shared.self(), "this entry is cut off"));
-        return;
-    }
-    if (!table_.claim(request.id, admission.team, shared.now.wall)) {
-        parts_.quick.reply(
-            replyTo,
-            shared.refusal(Outcome::NotRun, "claim", shared.self(), "too many claims are kept"));
-        return;
+        notRun("claim", "the zone has no second entry to hold a copy");
+    } else if (!shared.mayStartForTeams()) {
+        notRun("fence", "this entry is cut off");
+    } else if (!table_.claim(request.id, admission.team, shared.now.wall)) {
+        replyUnknown(replyTo, request, "claim", shared.self(), "too many claims are kept");
+    } else {
+        const auto id = request.id;
+        const auto timeoutMs = request.timeoutMs;
+        hold(HeldFor::Copy, std::move(replyTo), std::move(request), timeoutMs).admission =
+            admission;
+        sendCopy(id);
     }
-    const auto id = request.id;
-    hold(std::move(replyTo), std::move(request), true, admission);
-    sendCopy(id);
 }
 
 // Answers a request whose id was claimed before.
@@ -179,10 +175,12 @@
 {
     auto      &shared = parts_.shared;
     const auto unknown = [&](std::string_view reason) {
-        parts_.quick.reply(replyTo,
-                           shared.refusal(Outcome::Unknown, "claim", claim.runner, reason));
+        replyUnknown(replyTo, request, "claim", claim.runner, reason);
     };
-    if (teamOf(request) != claim.team) {
+    const auto isHeld = held_.contains(request.id);
+    if (claim.phase == ClaimPhase::Refused && !isHeld) {
+        replyNotRun(replyTo, request, "claim", "this id was refused before; take a new one");
+    } else if (teamOf(request) != claim.team) {
         unknown("the id was claimed with the key of another team");
     } else if (claim.phase == ClaimPhase::Answered && claim.hasAnswer) {
         parts_.quick.reply(replyTo, Reply{Outcome::Answered, claim.answer, {}});
@@ -190,28 +188,102 @@
         unknown("it ran, and its answer isn't kept any more");
     } else if (claim.phase == ClaimPhase::Unknown || claim.runner != shared.self()) {
         unknown("it may have run");
-    } else if (waiters_.count(request.id) >= shared.settings.requests.maxWaiters) {
+    } else if (!addWaiter(replyTo, request)) {
         unknown("it is running, and too many wait for its answer");
-    } else if (replyTo.peer.empty() || waiters_.count(request.id) == 0
-               || std::ranges::none_of(waiters_, [&](const auto &waiter) {
-                      return waiter.second.peer == replyTo.peer
-                          && waiter.second.forwardId == replyTo.forwardId;
-                  })) {
-        waiters_.emplace(request.id, replyTo);
     }
 }
 
-auto ClaimPart::hold(ReplyTo replyTo, CallerRequest request, bool isClaimed,
-                     const Admission &admission) -> void
+auto ClaimPart::addWaiter(const ReplyTo &replyTo, const CallerRequest &request) -> bool
+{
+    const auto [begin, end] = waiters_.equal_range(request.id);
+    const auto isSame = [&](const auto &entry) {
+        const auto &other = entry.second.replyTo;
+        return other.peer == replyTo.peer && other.handle == replyTo.handle
+            && other.forwardId == replyTo.forwardId;
+    };
+    if (std::any_of(begin, end, isSame)) {
+        return true; // The forwarding entry sent it again.
+    }
+    if (waiters_.count(request.id) >= parts_.shared.settings.requests.maxWaiters) {
+        return false;
+    }
+    waiters_.emplace(request.id, Waiter{replyTo, parts_.shared.now.mono + request.timeoutMs});
+    return true;
+}
+
+auto ClaimPart::hold(HeldFor heldFor, ReplyTo replyTo, CallerRequest request, TimeMs timeoutMs)
+    -> Held &
 {
     auto held = Held{};
+    held.heldFor = heldFor;
     held.replyTo = std::move(replyTo);
-    held.admission = admission;
-    held.deadline = parts_.shared.now.mono + request.timeoutMs;
-    held.isClaimed = isClaimed;
+    held.deadline = parts_.shared.now.mono + timeoutMs;
+    held.sentAt = parts_.shared.now.mono;
     auto id = request.id;
     held.request = std::move(request);
-    held_.emplace(std::move(id), std::move(held));
+    return held_.emplace(std::move(id), std::move(held))->second;
+}
+
+// Makes sure that the id never runs, here or at a later home, and only then tells the caller.
+auto ClaimPart::refuseForever(ReplyTo replyTo, CallerRequest request, Reply refusal) -> void
+{
+    auto &shared = parts_.shared;
+    if (!table_.refuse(request.id, teamOf(request), shared.now.wall)) {
+        replyUnknown(replyTo, request, refusal.refusal.step, refusal.refusal.peer,
+                     refusal.refusal.reason);
+        return;
+    }
+    const auto holders = table_.holders(request.id);
+    if (holders.home != shared.self() || holders.copy.empty()) {
+        // A later home gets it from this entry, or takes all ids of this epoch for lost.
+        shareEnd(*table_.find(request.id));
+        replyAll(replyTo, request, refusal);
+        return;
+    }
+    const auto id = request.id;
+    auto &held = hold(HeldFor::Refusal, std::move(replyTo), std::move(request), kRefusalWaitMs);
+    held.refusal = std::move(refusal);
+    sendCopy(id);
+}
+
+auto ClaimPart::replyAll(const ReplyTo &replyTo, const CallerRequest &request, const Reply &reply)
+    -> void
+{
+    noteRefusal(request, reply);
+    parts_.quick.reply(replyTo, reply);
+    const auto [begin, end] = waiters_.equal_range(request.id);
+    for (auto waiter = begin; waiter != end; ++waiter) {
+        parts_.quick.reply(waiter->second.replyTo, reply);
+    }
+    waiters_.erase(begin, end);
+}
+
+auto ClaimPart::replyUnknown(const ReplyTo &replyTo, const CallerRequest &request,
+                             std::string_view step, std::string_view peer, std::string_view reason)
+    -> void
+{
+    const auto reply = parts_.shared.refusal(Outcome::Unknown, step, peer, reason);
+    noteRefusal(request, reply);
+    parts_.quick.reply(replyTo, reply);
+}
+
+auto ClaimPart::replyNotRun(const ReplyTo &replyTo, const CallerRequest &request,
+                            std::string_view step, std::string_view reason) -> void
+{
+    const auto reply = parts_.shared.refusal(Outcome::NotRun, step, parts_.shared.self(), reason);
+    noteRefusal(request, reply);
+    parts_.quick.reply(replyTo, reply);
+}
+
+auto ClaimPart::noteRefusal(const CallerRequest &request, const Reply &reply) -> void
+{
+    if (reply.outcome != Outcome::Answered) {
+        parts_.shared.emit(Decision{request.id, teamOf(request), request.service, "refuse",
+                                    reply.refusal.peer,
+                                    fmt::format("{}: {}: {}", outcomeName(reply.outcome),
+                                                reply.refusal.step, reply.refusal.reason),
+                                    0});
+    }
 }
 
 auto ClaimPart::sendCopy(std::string_view id) -> void
@@ -226,46 +298,44 @@
 
 auto ClaimPart::onClaimCopy(const Incarnation &from, ClaimCopy &copy) -> void
 {
-    auto      &shared = parts_.shared;
-    auto       reply = ClaimCopyReply{copy.claim.id, copy.claim.sequence, table_.epoch(), false};
-    const auto isEnd = copy.claim.phase != ClaimPhase::Claimed;
+    const auto phase = copy.claim.phase;
+    auto reply = ClaimCopyReply{copy.claim.id, copy.claim.sequence, phase, table_.epoch(), false};
     const auto holders = table_.holders(copy.claim.id);
-    const auto isHolder = holders.copy == shared.self() && holders.home == from;
-    if (isEnd || (copy.epoch == table_.epoch() && isHolder)) {
+    reply.isHeld = copy.epoch == table_.epoch() && holders.copy == parts_.shared.self()
+        && holders.home == from;
+    if (reply.isHeld || phase != ClaimPhase::Claimed) {
         table_.store(std::move(copy.claim));
-        reply.isHeld = true;
-    }
-    if (!isEnd) {
-        shared.send(from, std::move(reply));
     }
+    parts_.shared.send(from, std::move(reply));
 }
 
-// The copy is held: from here on the request may start.
+// The copy is held: from here on a claimed request may start, and a refused one is told so.
 auto ClaimPart::onClaimCopyReply(const Incarnation &from, const ClaimCopyReply &reply) -> void
 {
     const auto *claim = table_.find(reply.id);
     const auto  isCurrent = claim != nullptr && claim->sequence == reply.sequence && reply.isHeld
-        && reply.epoch == table_.epoch() && table_.holders(reply.id).copy == from;
+        && claim->phase == reply.phase && reply.epoch == table_.epoch()
+        && table_.holders(reply.id).copy == from;
     if (!isCurrent) {
         return;
     }
+    const auto wanted = reply.phase == ClaimPhase::Claimed ? HeldFor::Copy : HeldFor::Refusal;
     const auto [begin, end] = held_.equal_range(reply.id);
     const auto found =
-        std::find_if(begin, end, [](const auto &held) { return held.second.isClaimed; });
+        std::find_if(begin, end, [&](const auto &entry) { return entry.second.heldFor == wanted; });
     if (found == end) {
         return;
     }
     auto held = std::move(found->second);
     held_.erase(found);
+    if (wanted == HeldFor::Refusal) {
+        replyAll(held.replyTo, held.request, held.refusal);
+        return;
+    }
     held.request.timeoutMs = held.deadline - parts_.shared.now.mono;
     parts_.quick.accept(std::move(held.replyTo), std::move(held.request), held.admission);
 }
 
-auto ClaimPart::onClaimDrop(const Incarnation &from, const ClaimDrop &drop) -> void
-{
-    table_.dropCopy(drop.id, from, drop.sequence);
-}
-
 // The home of the id when it was claimed still holds it, in whatever epoch, and isn't fenced.
 auto ClaimPart::mayStart(std::string_view id) const -> bool
 {
@@ -274,27 +344,18 @@
         && claim->runner == parts_.shared.self() && parts_.shared.mayStartForTeams();
 }
 
-auto ClaimPart::finish(const std::string &id, const Reply &reply) -> void
+auto ClaimPart::finish(const ReplyTo &replyTo, const CallerRequest &request, Reply reply) -> void
 {
-    switch (reply.outcome) {
-    case Outcome::NotRun:
-        release(id);
-        break;
-    case Outcome::Answered:
-        table_.finish(id, reply.answer);
-        break;
-    case Outcome::Unknown:
-        table_.finish(id, std::nullopt);
-        break;
+    if (reply.outcome == Outcome::NotRun) {
+        refuseForever(replyTo, request, std::move(reply));
+        return;
     }
-    if (const auto *claim = table_.find(id)) {
+    const auto isAnswered = reply.outcome == Outcome::Answered;
+    table_.finish(request.id, isAnswered ? std::optional(reply.answer) : std::nullopt);
+    if (const auto *claim = table_.find(request.id)) {
         shareEnd(*claim);
     }
-    const auto [begin, end] = waiters_.equal_range(id);
-    for (auto waiter = begin; waiter != end; ++waiter) {
-        parts_.quick.reply(waiter->second, reply);
-    }
-    waiters_.erase(begin, end);
+    replyAll(replyTo, request, reply);
 }
 
 auto ClaimPart::shareEnd(const Claim &claim) -> void
@@ -308,29 +369,13 @@
     }
 }
 
-auto ClaimPart::release(const std::string &id) -> void
-{
-    auto       &shared = parts_.shared;
-    const auto *claim = table_.find(id);
-    if (claim == nullptr || claim->runner != shared.self()) {
-        return;
-    }
-    const auto drop = ClaimDrop{id, claim->sequence};
-    for (const auto &member : table_.members()) {
-        if (member.incarnation != shared.self() && shared.connected.contains(member.incarnation)) {
-            shared.send(member.incarnation, drop);
-        }
-    }
-    table_.release(id);
-}
-
 auto ClaimPart::onCallerGone(CallerHandle handle) -> void
 {
     const auto isOf = [&](const ReplyTo &replyTo) {
         return replyTo.handle == handle && replyTo.peer.empty();
     };
     std::erase_if(forwards_, [&](const auto &entry) { return isOf(entry.second.replyTo); });
-    std::erase_if(waiters_, [&](const auto &entry) { return isOf(entry.second); });
+    std::erase_if(waiters_, [&](const auto &entry) { return isOf(entry.second.replyTo); });
     for (auto &[id, held] : held_) {
         if (isOf(held.replyTo)) {
             held.replyTo.handle = 0;
@@ -412,6 +457,7 @@
     table_.expire(shared.now.wall);
     retryHeld();
     retryForwards();
+    expireWaiters();
     if (shared.now.mono - lastSync_ >= kSyncRetryMs) {
         lastSync_ = shared.now.mono;
         for (const auto &[peer, epoch] : unsynced_) {
@@ -426,36 +472,58 @@
     auto  pending = std::multimap<std::string, Held>();
     pending.swap(held_);
     for (auto &[id, held] : pending) {
-        const auto isLate = shared.now.mono >= held.deadline;
-        if (held.isClaimed && !isLate) {
-            if (shared.now.mono - held.sentAt >= shared.settings.requests.claimRetryMs) {
+        if (shared.now.mono >= held.deadline) {
+            expireHeld(held);
+        } else if (held.heldFor == HeldFor::Ready && table_.isReady()) {
+            held.request.timeoutMs = held.deadline - shared.now.mono;
+            acceptAtHome(std::move(held.replyTo), std::move(held.request));
+        } else {
+            const auto isDue =
+                shared.now.mono - held.sentAt >= shared.settings.requests.claimRetryMs;
+            if (isDue && held.heldFor != HeldFor::Ready) {
                 held.sentAt = shared.now.mono;
                 sendCopy(id);
             }
             held_.emplace(id, std::move(held));
-            continue;
-        }
-        if (held.isClaimed) {
-            // Nothing was sent to a target, so this is certain.
-            const auto refused = shared.refusal(Outcome::NotRun, "claim", table_.holders(id).copy,
-                                                "no second entry confirmed the claim in time");
-            finish(id, refused);
-            parts_.quick.reply(held.replyTo, refused);
-            continue;
         }
+    }
+}
+
+auto ClaimPart::expireHeld(Held &held) -> void
+{
+    auto      &shared = parts_.shared;
+    const auto copy = table_.holders(held.request.id).copy;
+    switch (held.heldFor) {
+    case HeldFor::Ready:
+        replyUnknown(held.replyTo, held.request, "claim", shared.self(),
+                     "the claims of another entry haven't arrived");
+        return;
+    case HeldFor::Copy:
+        refuseForever(std::move(held.replyTo), std::move(held.request),
+                      shared.refusal(Outcome::NotRun, "claim", copy,
+                                     "no second entry confirmed the claim in time"));
+        return;
+    case HeldFor::Refusal:
+        // It won't run here. But a later home may not know, and take a copy of the request.
+        held.refusal.outcome = Outcome::Unknown;
+        held.refusal.refusal.outcome = Outcome::Unknown;
+        replyAll(held.replyTo, held.request, held.refusal);
+        return;
+    }
+}
+
+auto ClaimPart::expireWaiters() -> void
+{
+    auto &shared = parts_.shared;
+    std::erase_if(waiters_, [&](const auto &entry) {
+        const auto isLate = shared.now.mono >= entry.second.deadline;
         if (isLate) {
-            parts_.quick.reply(held.replyTo,
-                               shared.refusal(Outcome::Unknown, "claim", shared.self(),
-                                              "the claims of another entry haven't arrived"));
-            continue;
+            parts_.quick.reply(
+                entry.second.replyTo,
+                shared.refusal(Outcome::Unknown, "claim", shared.self(), "it is running"));
         }
-        if (!table_.isReady()) {
-            held_.emplace(id, std::move(held));
-            continue;
-        }
-        held.request.timeoutMs = held.deadline - shared.now.mono;
-        acceptAtHome(std::move(held.replyTo), std::move(held.request));
-    }
+        return isLate;
+    });
 }
 
 auto ClaimPart::retryForwards() -> void
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -164,8 +164,6 @@
                 parts.claims.onClaimCopy(from, body);
             } else if constexpr (std::is_same_v<Body, ClaimCopyReply>) {
                 parts.claims.onClaimCopyReply(from, body);
-            } else if constexpr (std::is_same_v<Body, ClaimDrop>) {
-                parts.claims.onClaimDrop(from, body);
             } else if constexpr (std::is_same_v<Body, ClaimSync>) {
                 parts.claims.onClaimSync(from, body);
             } else if constexpr (std::is_same_v<Body, ClaimSyncDone>) {
--- a/src/engine/engine_internal.h
+++ b/src/engine/engine_internal.h
@@ -261,28 +261,36 @@
     auto onMembersChanged(bool isJump) -> void;
     auto onClaimCopy(const Incarnation &from, ClaimCopy &copy) -> void;
     auto onClaimCopyReply(const Incarnation &from, const ClaimCopyReply &reply) -> void;
-    auto onClaimDrop(const Incarnation &from, const ClaimDrop &drop) -> void;
     auto onClaimSync(const Incarnation &from, ClaimSync &sync) -> void;
     auto onClaimSyncDone(const Incarnation &from, const ClaimSyncDone &done) -> void;
     auto onForward(const Incarnation &from, Forward &forward) -> void;
     auto onForwardReply(ForwardReply &reply) -> void;
     auto onCallerGone(CallerHandle handle) -> void;
     auto onTick() -> void;
-    auto finish(const std::string &id, const Reply &reply) -> void; // From the quick part.
-    auto mayStart(std::string_view id) const -> bool;               // The last check.
+    auto mayStart(std::string_view id) const -> bool; // The last check.
+
+    // The quick part is done with a claimed request. Replies to all who asked for the id.
+    auto finish(const ReplyTo &replyTo, const CallerRequest &request, Reply reply) -> void;
 
     auto table() const -> const ClaimTable & { return table_; }
     auto waiting() const -> std::size_t { return held_.size() + forwards_.size(); }
 
 private:
-    // A request that waits for this home to be ready, or for its claim's copy.
+    // What a held request waits for.
+    enum class HeldFor {
+        Ready,   // This home to have the claims of all survivors.
+        Copy,    // The copy holder to confirm the claim. Then it may start.
+        Refusal, // The copy holder to confirm the refusal. Then the caller is told.
+    };
+
     struct Held {
+        HeldFor       heldFor = HeldFor::Ready;
         ReplyTo       replyTo;
         CallerRequest request;
         Admission     admission;
+        Reply         refusal; // HeldFor::Refusal.
         TimeMs        deadline = 0;
         TimeMs        sentAt = 0;
-        bool          isClaimed = false;
     };
 
     struct PendingForward {
@@ -293,18 +301,31 @@
         Incarnation   sentTo;
     };
 
+    struct Waiter {
+        ReplyTo replyTo;
+        TimeMs  deadline = 0;
+    };
+
     auto acceptAtHome(ReplyTo replyTo, CallerRequest request) -> void;
     auto claimAndCopy(ReplyTo replyTo, CallerRequest request, const Admission &admission) -> void;
     auto replyFromClaim(const ReplyTo &replyTo, const CallerRequest &request, const Claim &claim)
         -> void;
-    auto hold(ReplyTo replyTo, CallerRequest request, bool isClaimed, const Admission &admission)
-        -> void;
+    auto refuseForever(ReplyTo replyTo, CallerRequest request, Reply refusal) -> void;
+    auto replyAll(const ReplyTo &replyTo, const CallerRequest &request, const Reply &reply) -> void;
+    auto replyUnknown(const ReplyTo &replyTo, const CallerRequest &request, std::string_view step,
+                      std::string_view peer, std::string_view reason) -> void;
+    auto replyNotRun(const ReplyTo &replyTo, const CallerRequest &request, std::string_view step,
+                     std::string_view reason) -> void;
+    auto noteRefusal(const CallerRequest &request, const Reply &reply) -> void;
+    auto hold(HeldFor heldFor, ReplyTo replyTo, CallerRequest request, TimeMs timeoutMs) -> Held &;
+    auto addWaiter(const ReplyTo &replyTo, const CallerRequest &request) -> bool;
     auto sendCopy(std::string_view id) -> void;
     auto sendForward(std::int64_t forwardId, PendingForward &forward) -> void;
     auto retryHeld() -> void;
+    auto expireHeld(Held &held) -> void;
     auto retryForwards() -> void;
+    auto expireWaiters() -> void;
     auto shareEnd(const Claim &claim) -> void;
-    auto release(const std::string &id) -> void;
     auto syncWith(const Incarnation &peer) -> void;
     auto teamOf(const CallerRequest &request) const -> std::string;
 
@@ -313,7 +334,7 @@
     std::int64_t                                  lastForward_ = 0;
     std::multimap<std::string, Held>              held_; // By request id.
     std::map<std::int64_t, PendingForward>        forwards_;
-    std::multimap<std::string, ReplyTo>           waiters_;   // Callers of an id that runs.
+    std::multimap<std::string, Waiter>            waiters_;   // Callers of an id that runs.
     std::map<Incarnation, Offset>                 unsynced_;  // Peers yet to confirm an epoch.
     std::map<Incarnation, std::set<std::int64_t>> partsSeen_; // Of the current epoch.
     TimeMs                                        lastSync_ = 0;
--- a/src/engine/quick_part.cpp
+++ b/src/engine/quick_part.cpp
@@ -284,10 +284,11 @@
                            reply.refusal.reason),
                0);
     }
-    if (!request.body.isRepeatable) {
-        parts_.claims.finish(request.body.id, reply);
+    if (request.body.isRepeatable) {
+        this->reply(request.replyTo, std::move(reply));
+    } else {
+        parts_.claims.finish(request.replyTo, request.body, std::move(reply));
     }
-    this->reply(request.replyTo, std::move(reply));
 }
 
 auto QuickPart::reply(const ReplyTo &replyTo, Reply reply) -> void
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -124,8 +124,8 @@
     auto port() const -> std::uint16_t { return port_; }
     auto open() const -> std::size_t { return exchanges_.size(); }
 
-    sigc::signal<void(HttpRequest)> requestArrived;
-    sigc::signal<void(ExchangeId)>  callerGone;
+    sigc::signal<void(const HttpRequest &)> requestArrived;
+    sigc::signal<void(ExchangeId)>          callerGone;
 
 private:
     struct Exchange;
@@ -133,7 +133,6 @@
     static auto onRequest(evhttp_request *request, void *self) -> void;
     static auto onClosed(evhttp_connection *connection, void *exchange) -> void;
 
-    EventLoop                                      &loop_;
     evhttp                                         *http_;
     void                                           *listener_ = nullptr;
     std::uint16_t                                   port_ = 0;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -68,7 +68,7 @@
 }
 
 HttpServer::HttpServer(EventLoop &loop, const HttpServerLimits &limits)
-    : loop_(loop), http_(evhttp_new(loop.base()))
+    : http_(evhttp_new(loop.base()))
 {
     evhttp_set_max_headers_size(http_, limits.maxHeaderBytes);
     evhttp_set_max_body_size(http_, limits.maxBodyBytes);
@@ -130,7 +130,7 @@
     arrived.headers = copyHeaders(evhttp_request_get_input_headers(request));
     arrived.body = drainBuffer(evhttp_request_get_input_buffer(request));
     server.exchanges_.emplace(exchange->id, std::move(exchange));
-    server.requestArrived.emit(std::move(arrived));
+    server.requestArrived.emit(arrived);
 }
 
 auto HttpServer::onClosed(evhttp_connection * /*connection*/, void *exchange) -> void
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -97,15 +97,11 @@
 struct ClaimCopyReply {
     std::string  id;
     std::int64_t sequence = 0;
-    Offset       epoch = 0; // The replier's. The copy is held only if isHeld.
+    ClaimPhase   phase = ClaimPhase::Claimed; // As in the copy.
+    Offset       epoch = 0;                   // The replier's. The copy is held only if isHeld.
     bool         isHeld = false;
 };
 
-struct ClaimDrop {
-    std::string  id;
-    std::int64_t sequence = 0;
-};
-
 // Claims of the sender that the receiver holds in the new epoch. Repeated until acknowledged.
 struct ClaimSync {
     Offset                 epoch = 0;
@@ -154,7 +150,7 @@
 
 using PeerMessage =
     std::variant<Hello, Heartbeat, RecordsPush, StatePush, UnitsWanted, UnitsGiven, ClaimCopy,
-                 ClaimCopyReply, ClaimDrop, ClaimSync, ClaimSyncDone, Forward, ForwardReply>;
+                 ClaimCopyReply, ClaimSync, ClaimSyncDone, Forward, ForwardReply>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Frames
--- a/tests/stand_in/platform.cpp
+++ b/tests/stand_in/platform.cpp
@@ -11,8 +11,7 @@
 // [SECTION] Platform
 //-----------------------------------------------------------------------------
 
-PlatformStandIn::PlatformStandIn(EventLoop &loop)
-    : loop_(loop), server_(loop, {65'536, 16'777'216, 3'600})
+PlatformStandIn::PlatformStandIn(EventLoop &loop) : server_(loop, {65'536, 16'777'216, 3'600})
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
 }
--- a/tests/stand_in/stand_in.h
+++ b/tests/stand_in/stand_in.h
@@ -40,7 +40,6 @@
     auto append(const HttpRequest &request) -> HttpReply;
     auto control(const HttpRequest &request) -> HttpReply;
 
-    EventLoop                  &loop_;
     HttpServer                  server_;
     std::deque<std::string>     records_;
     std::int64_t                firstOffset_ = 1;
