Run long tasks on workers under leases

A start is a record first, so the log decides which entry holds which attempt and no worker is filled twice; the lease at the worker follows and lapses if it isn't renewed. Urgent tasks preempt repeatable ones by checkpoint. The demo submits 10 long tasks through the kill, the zone's absence and the stop.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -41,6 +41,44 @@
     return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
 
+def uuid7(number):
+    """Returns a UUIDv7 of now. The number keeps ids of one millisecond apart."""
+    digits = f"{int(time.time() * 1000):012x}"
+    return f"{digits[:8]}-{digits[8:]}-7000-8000-{number:012x}"
+
+
+def task_call(fleet, path, body=None, task_id=""):
+    """Calls the first entry that answers."""
+    for address in fleet.addresses.values():
+        try:
+            return fleets.call(address["callers"], path, body,
+                               headers={"Peridot-Key": KEYS["team-0"], "Peridot-Request-Id": task_id})
+        except OSError:
+            continue
+    raise RuntimeError("no entry answers")
+
+
+def submit_tasks(fleet, count):
+    ids = [f"{ZONES[i % 2]}/{uuid7(i)}" for i in range(count)]
+    for number, task_id in enumerate(ids):
+        body = {"service": "render", "payload": json.dumps({"ms": 1500 + 300 * number}), "cpus": 2,
+                "repeatable": True, "urgent": number == count - 1}
+        task_call(fleet, "/v1/tasks", body, task_id)
+    step(f"{count} long tasks are submitted")
+    return ids
+
+
+def await_tasks(fleet, ids, seconds=25):
+    """Returns the ids that haven't ended with a result in time."""
+    until = time.monotonic() + seconds
+    left = list(ids)
+    while left and time.monotonic() < until:
+        left = [i for i in left if not task_call(fleet, f"/v1/tasks/{i}")["note"].startswith("done")]
+        time.sleep(0.2)
+    step(f"{len(ids) - len(left)} of {len(ids)} long tasks are done")
+    return left
+
+
 def operate(fleet, *arguments):
     code, output = fleet.operate(*arguments, "--asker", "demo")
     step(f"{' '.join(arguments)}: exit {code}: {output.strip().splitlines()[-1]}")
@@ -52,6 +90,8 @@
     try:
         for runner in ("r1", "r2", "r3", "r4"):
             fleet.start_runner(runner)
+        for worker in ("w1", "w2"):
+            fleet.start_runner(worker, "worker")
         for name in fleet.addresses:
             fleet.start_entry(name)
         for name in fleet.addresses:
@@ -61,11 +101,14 @@
         step(f"rules publish: exit {code}: {output.strip()}")
         grant_keys(fleet, directory)
         callers = start_callers(fleet, 14_000)
+        tasks = submit_tasks(fleet, 10)
         time.sleep(2.5)
         step("entry-2 is killed")
         fleet.kill("entry-2")
+        fleet.list_instance("entry-2", "", "gone")
         time.sleep(2)
         step("entry-2 is replaced")
+        fleet.list_instance("entry-2", "", "live")
         fleet.start_entry("entry-2")
         time.sleep(1.5)
         out_code = operate(fleet, "zone", "out", "suva-2")
@@ -77,27 +120,32 @@
         step("entry-3 is stopped as planned")
         stop_code = fleet.kill("entry-3", 15)
         output, _ = callers.communicate(timeout=30)
-        return judge(json.loads(output), fleet.journals(), out_at, in_at, stop_code)
+        unfinished = await_tasks(fleet, tasks)
+        return judge(json.loads(output), fleet.journals(), out_at, in_at, stop_code, unfinished)
     finally:
         fleet.close()
 
 
-def judge(callers, journals, out_at, in_at, stop_code):
+def judge(callers, journals, out_at, in_at, stop_code, unfinished):
     orders = tuple(f"{zone}/" for zone in ZONES)
-    doubled = fleets.count_doubled(journals, orders)
+    runners = {name: journal for name, journal in journals.items() if name.startswith("r")}
+    workers = {name: journal for name, journal in journals.items() if name.startswith("w")}
+    doubled = fleets.count_doubled(runners, orders)
+    overlapping = fleets.count_overlapping(workers)
     ran = {run["id"] for journal in journals.values() for run in journal}
     false_not_run = [i for i in callers["not_run_ids"] if i.startswith(orders) and i in ran]
     over_limit = sum(max(0, fleets.most_at_once(journals, team) - limit) for team, limit in LIMITS.items())
-    late = [run for name in ("r2", "r4") for run in journals[name]
+    late = [run for name in ("r2", "r4", "w2") for run in journals[name]
             if out_at + ZONE_OUT_GRACE_MS < run["start_ms"] < in_at]
     unseen = [i for i in callers["answered_ids"] if i not in ran]
     print(f"demo: answered={callers['answered']} refused_not_run={callers['refused_not_run']} "
           f"unknown={callers['unknown']} lost={callers['lost']} doubled={len(doubled)} "
           f"over_limit={over_limit}")
     print(f"demo: mismatched={callers['mismatched']} false_not_run={len(false_not_run)} "
-          f"started_in_zone_out={len(late)} answered_but_not_run={len(unseen)} planned_stop_exit={stop_code}")
+          f"started_in_zone_out={len(late)} answered_but_not_run={len(unseen)} planned_stop_exit={stop_code} "
+          f"unfinished_tasks={len(unfinished)} overlapping_runs={len(overlapping)}")
     broken = (callers["lost"] + len(doubled) + over_limit + callers["mismatched"] + len(false_not_run)
-              + len(late) + len(unseen) + stop_code)
+              + len(late) + len(unseen) + stop_code + len(unfinished) + len(overlapping))
     return 0 if broken == 0 and callers["answered"] > 0 else 1
 
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -17,8 +17,8 @@
 # Short times, so that a lost entry is evicted while the demo runs.
 TIMES = {
     "membership": {
-        "heartbeat_ms": 100, "suspect_after_ms": 1000, "fence_log_ms": 3000, "evict_grace_ms": 6000,
-        "fence_peers_ms": 20000, "evict_unheard_ms": 30000, "max_run_ms": 2000,
+        "heartbeat_ms": 100, "suspect_after_ms": 1000, "fence_log_ms": 3000, "evict_grace_ms": 8000,
+        "fence_peers_ms": 20000, "evict_unheard_ms": 30000, "max_run_ms": 4000,
     },
     "tasks": {"lease_ms": 1500, "renew_ms": 400},
 }
@@ -30,10 +30,10 @@
     return [int(line) for line in output.stdout.split()]
 
 
-def call(address, path, body=None, timeout=5):
+def call(address, path, body=None, timeout=5, headers=None):
     """Returns the parsed JSON answer of GET or POST."""
     data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data=data)
+    request = urllib.request.Request(f"http://{address}{path}", data=data, headers=headers or {})
     with urllib.request.urlopen(request, timeout=timeout) as answer:
         return json.load(answer)
 
@@ -145,6 +145,17 @@
     return doubled
 
 
+def count_overlapping(journals):
+    """Returns the ids of tasks that ran twice at the same time. A repeatable task may run again later."""
+    last, overlapping = {}, set()
+    runs = [run for journal in journals.values() for run in journal]
+    for run in sorted(runs, key=lambda run: run["start_ms"]):
+        if run["id"] in last and run["start_ms"] < last[run["id"]]:
+            overlapping.add(run["id"])
+        last[run["id"]] = run["end_ms"] if run["end_ms"] is not None else 1 << 62
+    return overlapping
+
+
 def most_at_once(journals, team):
     """Returns the most requests of a team that ran at the same time, over all runners."""
     events = []
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -155,7 +155,7 @@
     ClaimSettings                             settings_;
     ZoneEpoch                                 current_;
     std::vector<ZoneEpoch>                    unsettled_; // The last that was ready, and all since.
-    std::set<Incarnation>                     awaiting_; // Survivors that haven't handed over yet.
+    std::set<Incarnation>                     awaiting_;  // Survivors that haven't handed over yet.
     std::vector<LostEpoch>                    lost_;
     std::map<std::string, Claim, std::less<>> claims_;
     std::deque<std::string>                   answerOrder_; // Ids with kept answers, oldest first.
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -62,7 +62,8 @@
 //-----------------------------------------------------------------------------
 
 EngineParts::EngineParts(EngineSettings settings)
-    : shared(std::move(settings)), state(*this), units(*this), quick(*this), claims(*this)
+    : shared(std::move(settings)), state(*this), units(*this), quick(*this), claims(*this),
+      tasks(*this)
 {
 }
 
@@ -113,10 +114,24 @@
     parts_->quick.onCallerGone(handle);
 }
 
+auto Engine::onTaskSubmit(Now now, CallerHandle handle, std::string_view taskId,
+                          std::string_view keyHash, TaskSpec spec) -> void
+{
+    parts_->shared.now = now;
+    parts_->tasks.submit(handle, taskId, keyHash, std::move(spec));
+}
+
+auto Engine::onTaskCancel(Now now, CallerHandle handle, std::string_view taskId,
+                          std::string_view keyHash) -> void
+{
+    parts_->shared.now = now;
+    parts_->tasks.cancel(handle, taskId, keyHash);
+}
+
 auto Engine::onAttemptReady(Now now, AttemptId attempt) -> void
 {
     parts_->shared.now = now;
-    if (!parts_->quick.onAttemptReady(attempt)) {
+    if (!parts_->quick.onAttemptReady(attempt) && !parts_->tasks.onAttemptReady(attempt)) {
         parts_->shared.emit(DropAttempt{attempt});
     }
 }
@@ -124,7 +139,9 @@
 auto Engine::onAttemptEnd(Now now, AttemptId attempt, AttemptEnd end) -> void
 {
     parts_->shared.now = now;
-    parts_->quick.onAttemptEnd(attempt, end);
+    if (!parts_->quick.onAttemptEnd(attempt, end)) {
+        parts_->tasks.onAttemptEnd(attempt, end);
+    }
     parts_->refresh();
 }
 
@@ -211,6 +228,7 @@
     parts_->state.onTick();
     parts_->claims.onTick();
     parts_->quick.onTick();
+    parts_->tasks.onTick();
     parts_->refresh();
     parts_->units.onTick();
     if (isDrained()) {
@@ -244,7 +262,7 @@
 auto Engine::isDrained() const -> bool
 {
     return parts_->shared.isStopping && parts_->quick.waiting() == 0 && parts_->quick.running() == 0
-        && parts_->claims.waiting() == 0;
+        && parts_->tasks.running() == 0 && parts_->claims.waiting() == 0;
 }
 
 auto Engine::hasLeft() const -> bool
@@ -268,7 +286,7 @@
     status.applied = shared.state.applied();
     status.logAgeMs = shared.membership.logAgeMs(now.mono);
     status.waiting = parts.quick.waiting() + parts.claims.waiting();
-    status.running = parts.quick.running();
+    status.running = parts.quick.running() + parts.tasks.running();
     status.claims = parts.claims.table().size();
     status.claimsReady = parts.claims.table().isReady();
     for (const auto &[team, grants] : shared.state.teamGrants()) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -50,6 +50,9 @@
     TimeMs      retryAfterMs = 500;        // What a refusal tells callers to wait.
 };
 
+constexpr TimeMs kLeaseTailMs =
+    2'500; // Bytes of a call may arrive that much after it was given up.
+
 // Times of long tasks.
 struct TaskSettings {
     TimeMs       leaseMs = 10'000;      // A worker stops a task whose lease isn't renewed.
@@ -198,6 +201,9 @@
 // [SECTION] Engine
 //-----------------------------------------------------------------------------
 
+// Returns what callers are told of a long task: 202 while it waits or runs, 200 once it has ended.
+auto describeTask(const Task &task) -> Answer;
+
 class EngineParts;
 
 class Engine
--- a/src/engine/engine_internal.h
+++ b/src/engine/engine_internal.h
@@ -340,6 +340,96 @@
     TimeMs                                        lastSync_ = 0;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Task part: long tasks on workers
+//-----------------------------------------------------------------------------
+
+// A start is a record first: the log decides which entry holds which attempt, and that a worker
+// isn't filled twice. The lease at the worker follows, and lapses there if it isn't renewed.
+class TaskPart
+{
+public:
+    explicit TaskPart(EngineParts &parts) : parts_(parts) { }
+
+    auto submit(CallerHandle handle, std::string_view taskId, std::string_view keyHash,
+                TaskSpec spec) -> void;
+    auto cancel(CallerHandle handle, std::string_view taskId, std::string_view keyHash) -> void;
+    auto onFold() -> void;                          // Starts and stops what the log decided.
+    auto onAttemptReady(AttemptId attempt) -> bool; // False: not an attempt of this part.
+    auto onAttemptEnd(AttemptId attempt, const AttemptEnd &end) -> bool;
+    auto onTick() -> void;
+    auto running() const -> std::size_t; // Leases, and events that the log doesn't have yet.
+
+private:
+    enum class Call { Start, Renew, Checkpoint, Stop };
+
+    // A lease that this entry holds, or lets lapse.
+    struct Lease {
+        std::string  taskId;
+        std::int64_t attempt = 0;
+        std::string  team;
+        std::string  worker;
+        std::string  checkpoint; // Last one that the worker told.
+        TimeMs       endsAt = 0; // No later than that, the worker has stopped it.
+        TimeMs       nextCallAt = 0;
+        bool         isCalling = false;
+        bool         hasStarted = false; // The worker took it, or may have.
+    };
+
+    struct LeaseCall {
+        std::string leaseKey;
+        Call        call = Call::Start;
+        std::string target;
+        TimeMs      startedAt = 0;
+    };
+
+    // A start that the log hasn't decided about yet. It holds a unit of the team.
+    struct Proposal {
+        std::string  worker;
+        std::string  team;
+        std::int64_t batch = 0; // The record that carries it. 0: not sent yet.
+    };
+
+    struct PendingReply {
+        CallerHandle handle = 0;
+        TimeMs       deadline = 0;
+        bool         isCancel = false;
+    };
+
+    auto checkSubmit(std::string_view taskId, std::string_view keyHash, const TaskSpec &spec) const
+        -> std::optional<Reply>;
+    auto add(TaskEvent event) -> void; // To the next batch.
+    auto flush() -> void;
+    auto batchId(std::int64_t number) const -> std::string;
+    auto freeFor(std::string_view worker) const -> Resources; // Less what is proposed.
+    auto place() -> void;
+    auto placeOne(const Task &task) -> bool;
+    auto preemptFor(const Task &task) -> void;
+    auto ownsTask(const Task &task) const -> bool;
+    auto orderedWaiting() const -> std::vector<const Task *>;
+    auto serveLeases() -> void;
+    auto nextCall(const Lease &lease) const -> Call;
+    auto startCall(const std::string &key, Lease &lease, Call call) -> void;
+    auto onAnswer(const std::string &key, Call call, const AttemptEnd &end, TimeMs tookMs) -> void;
+    auto endLease(const std::string &key, TaskEventKind kind, std::string note) -> void;
+    auto failLease(const std::string &key, std::string_view reason) -> void;
+    auto answerPending() -> void;
+    auto replyTask(CallerHandle handle, const Task &task) -> void;
+    auto decide(const Lease &lease, std::string_view step, std::string_view reason) -> void;
+
+    EngineParts                                 &parts_;
+    std::map<std::string, Lease>                 leases_;   // By task id and attempt.
+    std::map<std::string, Proposal, std::less<>> proposed_; // By task id.
+    std::map<AttemptId, LeaseCall>               calls_;
+    std::map<std::string, std::set<std::string>> failedOn_; // Task id -> workers where it failed.
+    std::map<std::string, TimeMs>                seenAt_;   // Waiting tasks: when first seen here.
+    std::multimap<std::string, PendingReply>     pending_;  // By task id.
+    std::vector<TaskEvent>                       batch_;
+    std::int64_t                                 lastBatch_ = 0;
+    TimeMs                                       lastFlush_ = 0;
+    TimeMs                                       lastPlace_ = 0;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Parts
 //-----------------------------------------------------------------------------
@@ -356,6 +446,7 @@
     UnitPart  units;
     QuickPart quick;
     ClaimPart claims;
+    TaskPart  tasks;
 };
 
 } // namespace peridotwalk
--- a/src/engine/quick_part.cpp
+++ b/src/engine/quick_part.cpp
@@ -20,6 +20,10 @@
         return shared.refusal(Outcome::NotRun, "service", request.service,
                               "there is no such service of runners");
     }
+    if (service->timeLimitMs > shared.settings.membership.maxRunMs) {
+        return shared.refusal(Outcome::NotRun, "service", request.service,
+                              "its time_limit_ms is above this entry's max_run_ms");
+    }
     const auto *team = request.keyHash.empty() ? nullptr : rules.teamOfKeyHash(request.keyHash);
     if (team == nullptr && !service->isOpen) {
         return shared.refusal(Outcome::NotRun, "key", request.service, "the key isn't granted");
--- a/src/engine/state_part.cpp
+++ b/src/engine/state_part.cpp
@@ -64,6 +64,7 @@
             refreshRules();
         }
         afterChange(false);
+        parts_.tasks.onFold();
     }
     const auto id = std::string(recordId(*record));
     shared.emit(Decision{id, "", "", "fold", "", result.isApplied ? "applied" : result.reason, 0});
@@ -82,6 +83,7 @@
     tailBytes_ = 0;
     refreshRules();
     afterChange(true);
+    parts_.tasks.onFold();
 }
 
 auto StatePart::refreshRules() -> void
--- a/src/entry/caller_task.cpp
+++ b/src/entry/caller_task.cpp
@@ -15,6 +15,7 @@
 constexpr int kServiceUnavailable = 503;
 
 constexpr std::string_view kServicesPath = "/v1/services/";
+constexpr std::string_view kTasksPath = "/v1/tasks";
 constexpr std::size_t      kMaxIdBytes = 128;
 constexpr TimeMs           kMaxDeadlineMs = 600'000;
 
@@ -32,6 +33,33 @@
     return refusal.step == "request-id" ? kBadRequest : kServiceUnavailable;
 }
 
+// Reads what a task asks for. Errors name the field.
+auto parseTaskSpec(const std::string &body) -> absl::StatusOr<TaskSpec>
+{
+    constexpr std::int64_t kMaxSize = 1'000'000'000;
+    try {
+        const auto json = nlohmann::json::parse(body);
+        auto       spec = TaskSpec{};
+        spec.service = json.at("service").get<std::string>();
+        spec.payload = json.value("payload", "");
+        spec.cpus = json.value("cpus", spec.cpus);
+        spec.memoryMb = json.value("memory_mb", spec.memoryMb);
+        spec.accelerators = json.value("accelerators", spec.accelerators);
+        spec.expectedMs = json.value("expected_ms", spec.expectedMs);
+        spec.isRepeatable = json.value("repeatable", false);
+        spec.isUrgent = json.value("urgent", false);
+        for (const auto size : {spec.cpus, spec.memoryMb, spec.accelerators, spec.expectedMs}) {
+            if (size < 0 || size > kMaxSize) {
+                return makeError(absl::StatusCode::kInvalidArgument, "task", "caller",
+                                 "a size is out of range");
+            }
+        }
+        return spec;
+    } catch (const nlohmann::json::exception &error) {
+        return makeError(absl::StatusCode::kInvalidArgument, "task", "caller", error.what());
+    }
+}
+
 auto isPlainId(std::string_view id) -> bool
 {
     return id.size() <= kMaxIdBytes && id.find_first_of("\" \\\t\n") == std::string_view::npos;
@@ -102,6 +130,10 @@
                        {}});
         return;
     }
+    if (request.path.starts_with(kTasksPath)) {
+        onTask(request);
+        return;
+    }
     if (!request.path.starts_with(kServicesPath)) {
         refuse(request.id, "path", "there is nothing at this path", kNotFound);
         return;
@@ -155,6 +187,55 @@
         [&](Engine &engine, Now now) { engine.onCallerRequest(now, request.id, std::move(call)); });
 }
 
+// POST /v1/tasks submits, GET and DELETE /v1/tasks/ID look up and cancel.
+auto CallerTask::onTask(const HttpRequest &request) -> void
+{
+    const auto key = request.header("peridot-key");
+    const auto keyHash = key.empty() ? std::string() : hashKey(key);
+    const auto rest = std::string_view(request.path).substr(kTasksPath.size());
+    const auto taskId = rest.empty() ? rest : rest.substr(1);
+    if (request.method == "GET" && !taskId.empty()) {
+        showTask(request, taskId);
+        return;
+    }
+    if (request.method == "DELETE" && !taskId.empty()) {
+        decisions_.handle([&](Engine &engine, Now now) {
+            engine.onTaskCancel(now, request.id, taskId, keyHash);
+        });
+        return;
+    }
+    if (request.method != "POST" || !taskId.empty()) {
+        refuse(request.id, "method", "tasks take POST, or GET and DELETE with an id",
+               kMethodNotAllowed);
+        return;
+    }
+    auto       spec = parseTaskSpec(request.body);
+    const auto id = request.header("peridot-request-id");
+    if (!spec.ok() || !isPlainId(id)) {
+        refuse(request.id, "task",
+               spec.ok() ? "Peridot-Request-Id is too long or holds blanks or quotes"
+                         : std::string(spec.status().message()),
+               kBadRequest);
+        return;
+    }
+    decisions_.handle([&](Engine &engine, Now now) {
+        engine.onTaskSubmit(now, request.id, id, keyHash, *std::move(spec));
+    });
+}
+
+auto CallerTask::showTask(const HttpRequest &request, std::string_view taskId) -> void
+{
+    const auto &state = decisions_.engine().state();
+    const auto *task = state.task(taskId);
+    const auto *team = state.rules().teamOfKeyHash(hashKey(request.header("peridot-key")));
+    if (task == nullptr || team == nullptr || team->name != task->spec.team) {
+        refuse(request.id, "task", "there is no such task of this team", kNotFound);
+        return;
+    }
+    auto http = toHttpReply(Reply{Outcome::Answered, describeTask(*task), {}});
+    server_.reply(request.id, http);
+}
+
 auto CallerTask::reply(const ReplyCaller &reply) -> void
 {
     server_.reply(reply.handle, toHttpReply(reply.reply));
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -184,6 +184,8 @@
 private:
     auto onRequest(const HttpRequest &request) -> void;
     auto onQuick(const HttpRequest &request, std::string_view service) -> void;
+    auto onTask(const HttpRequest &request) -> void;
+    auto showTask(const HttpRequest &request, std::string_view taskId) -> void;
     auto refuse(ExchangeId id, std::string_view step, std::string_view reason, int status) -> void;
 
     const EntrySettings &settings_;
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -284,8 +284,9 @@
     readRouting(root, settings.engine.routing, errors);
     readRequests(root, settings, errors);
     readTasks(root, settings.engine.tasks, errors);
-    if (settings.engine.tasks.leaseMs > settings.engine.membership.maxRunMs) {
-        errors.push_back({"/tasks/lease_ms", "must be at most membership/max_run_ms"});
+    if (settings.engine.tasks.leaseMs + kLeaseTailMs > settings.engine.membership.maxRunMs) {
+        errors.push_back({"/tasks/lease_ms",
+                          fmt::format("must be at most membership/max_run_ms - {}", kLeaseTailMs)});
     }
 }
 
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -145,6 +145,7 @@
             next.rememberOutcome(entry.at("id").get<std::string>(),
                                  entry.at("result").get<ApplyResult>());
         }
+        next.indexTasks();
         *this = std::move(next);
         return absl::OkStatus();
     } catch (const Json::exception &error) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -94,7 +94,7 @@
     std::vector<TeamFlow> flows;
 };
 
-enum class TaskEventKind { Submitted, Started, Requeued, Ended, Cancelled };
+enum class TaskEventKind { Submitted, Started, Requeued, Ended, Cancelled, Preempted };
 
 // What a long task asks for.
 struct TaskSpec {
@@ -109,6 +109,8 @@
     bool         isUrgent = false;
 };
 
+// Submitted by a caller; Started by the entry that will hold the lease; Requeued and Ended by that
+// entry; Cancelled by a caller; Preempted by an entry that needs the room for an urgent task.
 struct TaskEvent {
     TaskEventKind kind = TaskEventKind::Submitted;
     std::string   taskId;      // "zone/uuid"
@@ -180,6 +182,17 @@
     std::string  worker = {}; // Running: where.
     std::string  note = {};   // Waiting: last checkpoint. Ended: result.
     bool         isCancelled = false;
+    bool         isPreempted = false; // Running: its holder is to checkpoint and requeue it.
+};
+
+// What tasks take of a worker, or what is left of it.
+struct Resources {
+    std::int64_t cpus = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    auto fits(const TaskSpec &spec) const -> bool;
+    auto add(const TaskSpec &spec, std::int64_t times) -> void; // times: 1 adds, -1 takes away.
 };
 
 //-----------------------------------------------------------------------------
@@ -229,6 +242,11 @@
     auto grant(std::string_view team, std::string_view incarnation) const -> std::int64_t;
     auto task(std::string_view id) const -> const Task *;
     auto tasks() const -> const std::map<std::string, Task, std::less<>> & { return tasks_; }
+    auto freeAt(std::string_view worker) const -> Resources; // By declared sizes of what runs.
+    auto waitingTasks() const -> const std::set<std::string, std::less<>> &
+    {
+        return waitingTasks_;
+    }
     auto findOutcome(std::string_view recordId) const -> const ApplyResult *; // Null: not seen.
     auto lastSnapshot() const -> Offset { return lastSnapshot_; } // Of its record. 0: none yet.
     auto dump() const -> std::string;                             // JSON that restore() takes.
@@ -253,7 +271,9 @@
     auto forgetOldGone() -> void;
     auto requeueTasksOf(const Incarnation &holder) -> void;
     auto applyTaskEvent(Offset offset, const Incarnation &by, const TaskEvent &event) -> void;
+    auto setPhase(Task &task, TaskPhase phase) -> void;
     auto endTask(Task &task, std::string note) -> void;
+    auto indexTasks() -> void;
     auto rememberOutcome(std::string_view id, const ApplyResult &result) -> void;
 
     Offset                                         applied_ = 0;
@@ -265,7 +285,9 @@
     std::map<std::string, Offset, std::less<>>     zoneEpochs_;
     std::map<std::string, TeamGrants, std::less<>> teams_;
     std::map<std::string, Task, std::less<>>       tasks_;
-    std::deque<std::string>                        endedTasks_; // Oldest first.
+    std::map<std::string, Resources, std::less<>>  workerUse_;    // Of running tasks.
+    std::set<std::string, std::less<>>             waitingTasks_; // Ids.
+    std::deque<std::string>                        endedTasks_;   // Oldest first.
     std::unordered_map<std::string, ApplyResult>   outcomes_;
     std::deque<std::string>                        outcomeOrder_; // Oldest first.
 };
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -29,7 +29,8 @@
                               {TaskEventKind::Started, "started"},
                               {TaskEventKind::Requeued, "requeued"},
                               {TaskEventKind::Ended, "ended"},
-                              {TaskEventKind::Cancelled, "cancelled"}})
+                              {TaskEventKind::Cancelled, "cancelled"},
+                              {TaskEventKind::Preempted, "preempted"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskEvent, kind, taskId, attempt, worker, note, spec)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskBatch, id, by, events)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Snapshot, id, by, upTo, state)
@@ -40,7 +41,7 @@
                               {TaskPhase::Running, "running"},
                               {TaskPhase::Ended, "ended"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Task, id, spec, phase, attempt, submittedAt, holder, worker,
-                                   note, isCancelled)
+                                   note, isCancelled, isPreempted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ApplyResult, isApplied, reason)
 
 } // namespace peridotwalk
--- a/src/fleet/fold.cpp
+++ b/src/fleet/fold.cpp
@@ -412,8 +412,11 @@
     const auto found = tasks_.find(event.taskId);
     if (event.kind == TaskEventKind::Submitted) {
         if (found == tasks_.end() && tasks_.size() < kMaxWaitingTasks + kMaxEndedTasks) {
-            auto task = Task{.id = event.taskId, .spec = event.spec, .submittedAt = offset};
-            tasks_.emplace(event.taskId, std::move(task));
+            auto &task = tasks_[event.taskId];
+            task.id = event.taskId;
+            task.spec = event.spec;
+            task.submittedAt = offset;
+            setPhase(task, TaskPhase::Waiting);
         }
         return;
     }
@@ -423,43 +426,51 @@
     auto      &task = found->second;
     const auto isHeld =
         task.phase == TaskPhase::Running && task.holder == by && task.attempt == event.attempt;
-    switch (event.kind) {
-    case TaskEventKind::Started:
-        if (task.phase == TaskPhase::Waiting && event.attempt == task.attempt + 1) {
-            task.phase = TaskPhase::Running;
-            task.attempt = event.attempt;
-            task.holder = by;
-            task.worker = event.worker;
-        }
-        return;
-    case TaskEventKind::Requeued:
-        if (isHeld) {
-            task.phase = TaskPhase::Waiting;
-            task.holder.clear();
-            task.note = event.note.empty() ? task.note : event.note;
-        }
-        return;
-    case TaskEventKind::Ended:
-        if (isHeld || task.phase == TaskPhase::Waiting) {
-            endTask(task, event.note);
-        }
-        return;
-    case TaskEventKind::Cancelled:
+    const auto mayStart = task.phase == TaskPhase::Waiting && event.attempt == task.attempt + 1;
+    if (event.kind == TaskEventKind::Started && mayStart && freeAt(event.worker).fits(task.spec)) {
+        task.attempt = event.attempt;
+        task.holder = by;
+        task.worker = event.worker;
+        setPhase(task, TaskPhase::Running);
+    } else if (event.kind == TaskEventKind::Requeued && isHeld) {
+        task.note = event.note.empty() ? task.note : event.note;
+        setPhase(task, TaskPhase::Waiting);
+    } else if (event.kind == TaskEventKind::Ended && (isHeld || task.phase == TaskPhase::Waiting)) {
+        endTask(task, event.note);
+    } else if (event.kind == TaskEventKind::Preempted) {
+        task.isPreempted = task.phase == TaskPhase::Running;
+    } else if (event.kind == TaskEventKind::Cancelled) {
         task.isCancelled = true;
-        if (task.phase == TaskPhase::Waiting) {
-            endTask(task, "cancelled");
-        }
-        return;
-    case TaskEventKind::Submitted:
-        return;
+    }
+    if (task.isCancelled && task.phase == TaskPhase::Waiting) {
+        endTask(task, "cancelled");
+    }
+}
+
+// Keeps the indexes: what waits, and what runs on each worker.
+auto FleetState::setPhase(Task &task, TaskPhase phase) -> void
+{
+    if (task.phase == TaskPhase::Running) {
+        workerUse_[task.worker].add(task.spec, -1);
+    }
+    task.phase = phase;
+    task.isPreempted = false;
+    if (phase == TaskPhase::Running) {
+        workerUse_[task.worker].add(task.spec, 1);
+    } else {
+        task.holder.clear();
+    }
+    if (phase == TaskPhase::Waiting) {
+        waitingTasks_.insert(task.id);
+    } else {
+        waitingTasks_.erase(task.id);
     }
 }
 
 auto FleetState::endTask(Task &task, std::string note) -> void
 {
-    task.phase = TaskPhase::Ended;
+    setPhase(task, TaskPhase::Ended);
     task.note = std::move(note);
-    task.holder.clear();
     task.spec.payload.clear();
     endedTasks_.push_back(task.id);
     if (endedTasks_.size() > kMaxEndedTasks) {
@@ -468,21 +479,62 @@
     }
 }
 
-// The leases of a gone holder have lapsed, so what it ran has stopped at the workers.
+auto FleetState::indexTasks() -> void
+{
+    for (const auto &[id, task] : tasks_) {
+        if (task.phase == TaskPhase::Waiting) {
+            waitingTasks_.insert(id);
+        } else if (task.phase == TaskPhase::Running) {
+            workerUse_[task.worker].add(task.spec, 1);
+        }
+    }
+}
+
+auto FleetState::freeAt(std::string_view worker) const -> Resources
+{
+    const auto *rule = rules_.instance(worker);
+    if (rule == nullptr) {
+        return {};
+    }
+    auto       free = Resources{rule->cpus, rule->memoryMb, rule->accelerators};
+    const auto used = workerUse_.find(worker);
+    if (used != workerUse_.end()) {
+        free.cpus -= used->second.cpus;
+        free.memoryMb -= used->second.memoryMb;
+        free.accelerators -= used->second.accelerators;
+    }
+    return free;
+}
+
+auto Resources::fits(const TaskSpec &spec) const -> bool
+{
+    return spec.cpus <= cpus && spec.memoryMb <= memoryMb && spec.accelerators <= accelerators;
+}
+
+auto Resources::add(const TaskSpec &spec, std::int64_t times) -> void
+{
+    cpus += times * spec.cpus;
+    memoryMb += times * spec.memoryMb;
+    accelerators += times * spec.accelerators;
+}
+
+// The leases of a gone holder have lapsed, so what it ran has stopped at the workers. A task that
+// must not repeat ends as unknown; the others wait again.
 auto FleetState::requeueTasksOf(const Incarnation &holder) -> void
 {
-    for (auto &[id, task] : tasks_) {
-        if (task.phase != TaskPhase::Running || task.holder != holder) {
-            continue;
+    auto orphans = std::vector<std::string>();
+    for (const auto &[id, task] : tasks_) {
+        if (task.phase == TaskPhase::Running && task.holder == holder) {
+            orphans.push_back(id);
         }
-        task.phase = TaskPhase::Waiting;
-        task.holder.clear();
     }
-    for (auto task = tasks_.begin(); task != tasks_.end();) {
-        auto      &current = (task++)->second;
-        const auto mustNotRepeat = !current.spec.isRepeatable && current.attempt > 0;
-        if (current.phase == TaskPhase::Waiting && (mustNotRepeat || current.isCancelled)) {
-            endTask(current, mustNotRepeat ? "unknown: its entry was lost" : "cancelled");
+    for (const auto &id : orphans) {
+        auto &task = tasks_.at(id);
+        setPhase(task, TaskPhase::Waiting);
+        if (!task.spec.isRepeatable) {
+            endTask(task, "unknown: its entry was lost");
+        } else if (task.isCancelled) {
+            endTask(task, "cancelled");
         }
     }
 }
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -131,6 +131,8 @@
     auto noteStart(std::string_view target) -> void;
     auto noteEnd(std::string_view target, AttemptResult result, TimeMs latencyMs, TimeMs now)
         -> void;
+    auto noteFailure(std::string_view target, TimeMs now) -> void; // Of a task, not of an attempt.
+    auto noteSuccess(std::string_view target) -> void;
     auto choose(const RuleTable &rules, std::string_view pool, const UnitLedger &slots,
                 std::span<const std::string> exclude, TimeMs now, Random &random)
         -> std::optional<Choice>;
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -111,6 +111,23 @@
     considerEjection(entry, now);
 }
 
+auto TargetTable::noteFailure(std::string_view target, TimeMs now) -> void
+{
+    const auto found = targets_.find(target);
+    if (found != targets_.end()) {
+        found->second.failureRate += settings_.averageWeight * (1 - found->second.failureRate);
+        considerEjection(found->second, now);
+    }
+}
+
+auto TargetTable::noteSuccess(std::string_view target) -> void
+{
+    const auto found = targets_.find(target);
+    if (found != targets_.end()) {
+        found->second.failureRate -= settings_.averageWeight * found->second.failureRate;
+    }
+}
+
 // A target is ejected for failing more than its pool does. If all fail alike, the cause is elsewhere.
 auto TargetTable::considerEjection(Target &target, TimeMs now) -> void
 {
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -53,6 +53,9 @@
     auto *runner = app.add_subcommand("runner");
     runner->add_option("--listen", address)->required();
     runner->add_option("--name", name)->required();
+    auto *worker = app.add_subcommand("worker");
+    worker->add_option("--listen", address)->required();
+    worker->add_option("--name", name)->required();
     auto *ports = app.add_subcommand("ports");
     ports->add_option("count", count)->required();
     auto *callers = app.add_subcommand("callers");
@@ -74,5 +77,9 @@
         auto standIn = RunnerStandIn(loop, name);
         return serve(loop, standIn, address);
     }
+    if (*worker) {
+        auto standIn = WorkerStandIn(loop, name);
+        return serve(loop, standIn, address);
+    }
     return *ports ? printPorts(count) : runCallers(plan);
 }
--- a/tests/stand_in/stand_in.h
+++ b/tests/stand_in/stand_in.h
@@ -4,6 +4,7 @@
 // Index of this file
 // [SECTION] Platform
 // [SECTION] Runner
+// [SECTION] Worker
 // [SECTION] Callers
 
 #pragma once
@@ -76,6 +77,43 @@
     Json                    journal_ = Json::array(); // {"id", "team", "start_ms", "end_ms"}
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Worker
+//-----------------------------------------------------------------------------
+
+// Runs tasks under leases, as docs/PROTOCOL.md says. The payload is {"ms": 500}: how long the whole
+// task runs. A checkpoint holds the part that has run. GET /journal lists all runs.
+class WorkerStandIn
+{
+public:
+    WorkerStandIn(EventLoop &loop, std::string name);
+
+    auto listen(const std::string &address) -> absl::Status { return server_.listen(address); }
+
+private:
+    struct Lease {
+        TimeMs      startedAt = 0;
+        TimeMs      leaseEnd = 0;
+        TimeMs      runMs = 0;     // Left at the start.
+        TimeMs      ranBefore = 0; // From the checkpoint.
+        std::string state = "running";
+        std::size_t journal = 0;
+    };
+
+    auto onRequest(const HttpRequest &request) -> void;
+    auto onLease(const HttpRequest &request) -> Json;
+    auto start(const std::string &key, const Json &body) -> void;
+    auto advance() -> void; // Ends what is done or whose lease has lapsed.
+    auto end(Lease &lease, const std::string &state) -> void;
+
+    std::string                  name_;
+    HttpServer                   server_;
+    std::map<std::string, Lease> leases_;
+    bool                         failsAll_ = false;
+    Json  journal_ = Json::array(); // {"id", "team", "start_ms", "end_ms", "state"}
+    Timer timer_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Callers
 //-----------------------------------------------------------------------------
