Prove the promises under failure; share units ahead of need; keep room for urgent tasks

Engines run against each other under an injected clock: 60 seeded schedules of crashes, pauses, cuts, log outages, lost answers and lost appends, and a directed test for each promise. Cause 1: the first entry to join held a team's whole limit, so a zone cut off soon after had no units: 0 starts in the cut-off zone before, the test's starts until its fence after. Entries now ask for an even portion with each heartbeat; a giver keeps its own. Cause 2: room that preemption made went to whichever task was placed first; an urgent task of 2 processors on full workers had not started after 4 s. A waiting urgent task now holds its pool.

--- a/src/engine/engine_internal.h
+++ b/src/engine/engine_internal.h
@@ -144,15 +144,16 @@
     auto askPeers() -> void;
     auto peersToAsk() const -> std::vector<Incarnation>;
     auto settleDebts() -> void;
+    auto wantPortions() -> void;
+    auto portionOf(std::string_view team) const -> std::int64_t;
     auto localNeed(std::string_view resource) const -> std::int64_t;
-    auto transferResource(std::string_view resource, const UnitTransfer &transfer) const
-        -> UnitTransfer;
 
     EngineParts                                               &parts_;
     UnitLedger                                                 teams_;
     UnitLedger                                                 slots_;
     LimitReports                                               reports_;
     Offset                                                     slotEpoch_ = 0;
+    TimeMs                                                     lastPortions_ = 0;
     std::map<std::string, std::int64_t, std::less<>>           wants_; // This entry's, by resource.
     std::map<std::string, TimeMs, std::less<>>                 askedAt_;
     std::map<std::string, std::deque<RemoteWant>, std::less<>> remoteWants_;
@@ -404,6 +405,8 @@
     auto freeFor(std::string_view worker) const -> Resources; // Less what is proposed.
     auto place() -> void;
     auto placeOne(const Task &task) -> bool;
+    auto poolOf(const Task &task) const -> std::string;
+    auto poolsHeldForUrgent() -> std::set<std::string>;
     auto preemptFor(const Task &task) -> void;
     auto ownsTask(const Task &task) const -> bool;
     auto orderedWaiting() const -> std::vector<const Task *>;
@@ -423,7 +426,8 @@
     std::map<AttemptId, LeaseCall>               calls_;
     std::map<std::string, std::set<std::string>> failedOn_; // Task id -> workers where it failed.
     std::map<std::string, TimeMs>                seenAt_;   // Waiting tasks: when first seen here.
-    std::multimap<std::string, PendingReply>     pending_;  // By task id.
+    std::map<std::string, TimeMs>                preemptAgainAt_; // Urgent tasks.
+    std::multimap<std::string, PendingReply>     pending_;        // By task id.
     std::vector<TaskEvent>                       batch_;
     std::int64_t                                 lastBatch_ = 0;
     TimeMs                                       lastFlush_ = 0;
--- a/src/engine/task_part.cpp
+++ b/src/engine/task_part.cpp
@@ -11,12 +11,14 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kPlaceEveryMs   = 50;
-constexpr TimeMs kSubmitWaitMs   = 5'000; // For the log to take a submission.
-constexpr TimeMs kMaxLogAgeMs    = 3'000; // No starts are proposed while the log is silent for longer.
+constexpr TimeMs kPlaceEveryMs = 50;
+constexpr TimeMs kSubmitWaitMs = 5'000; // For the log to take a submission.
+constexpr TimeMs kUrgentHoldMs = 10'000;
+constexpr TimeMs kPreemptEveryMs = 2'000; // Between preemptions for the same task.
+constexpr TimeMs kMaxLogAgeMs = 3'000; // No starts are proposed while the log is silent for longer.
 constexpr std::size_t kMaxUnsentEvents = 5'000;
-constexpr int    kHttpOk         = 200;
-constexpr int    kHttpAccepted   = 202;
+constexpr int         kHttpOk = 200;
+constexpr int         kHttpAccepted = 202;
 
 auto leaseKey(std::string_view taskId, std::int64_t attempt) -> std::string
 {
@@ -51,7 +53,8 @@
     }
     const auto text = [&](const char *name) {
         const auto found = json.find(name);
-        return found != json.end() && found->is_string() ? found->get<std::string>() : std::string();
+        return found != json.end() && found->is_string() ? found->get<std::string>()
+                                                         : std::string();
     };
     return {text("state"), text("checkpoint"), text("result")};
 }
@@ -60,12 +63,9 @@
 
 auto describeTask(const Task &task) -> Answer
 {
-    const auto json = Json{{"id", task.id},
-                           {"state", phaseName(task.phase)},
-                           {"attempt", task.attempt},
-                           {"worker", task.worker},
-                           {"note", task.note},
-                           {"cancelled", task.isCancelled}};
+    const auto json = Json{{"id", task.id},           {"state", phaseName(task.phase)},
+                           {"attempt", task.attempt}, {"worker", task.worker},
+                           {"note", task.note},       {"cancelled", task.isCancelled}};
     return {task.phase == TaskPhase::Ended ? kHttpOk : kHttpAccepted, "application/json",
             json.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
@@ -74,8 +74,8 @@
 // [SECTION] Task part: long tasks on workers
 //-----------------------------------------------------------------------------
 
-auto TaskPart::checkSubmit(std::string_view taskId, std::string_view keyHash, const TaskSpec &spec) const
-    -> std::optional<Reply>
+auto TaskPart::checkSubmit(std::string_view taskId, std::string_view keyHash,
+                           const TaskSpec &spec) const -> std::optional<Reply>
 {
     const auto &shared = parts_.shared;
     const auto &rules = shared.state.rules();
@@ -90,7 +90,8 @@
     }
     const auto id = parseRequestId(taskId);
     if (!id.ok()) {
-        return shared.refusal(Outcome::NotRun, "request-id", taskId, std::string(id.status().message()));
+        return shared.refusal(Outcome::NotRun, "request-id", taskId,
+                              std::string(id.status().message()));
     }
     const auto age = shared.now.wall - id->mintedAt;
     if (shared.state.task(taskId) == nullptr && age > shared.settings.claims.windowMs) {
@@ -102,7 +103,8 @@
                                   "another team has a task with this id");
         }
     }
-    if (shared.state.waitingTasks().size() >= kMaxWaitingTasks || batch_.size() >= kMaxUnsentEvents) {
+    if (shared.state.waitingTasks().size() >= kMaxWaitingTasks
+        || batch_.size() >= kMaxUnsentEvents) {
         return shared.refusal(Outcome::NotRun, "queue", spec.service, "too many tasks wait");
     }
     return std::nullopt;
@@ -127,14 +129,16 @@
     answerPending();
 }
 
-auto TaskPart::cancel(CallerHandle handle, std::string_view taskId, std::string_view keyHash) -> void
+auto TaskPart::cancel(CallerHandle handle, std::string_view taskId, std::string_view keyHash)
+    -> void
 {
-    auto &shared = parts_.shared;
+    auto       &shared = parts_.shared;
     const auto *task = shared.state.task(taskId);
     const auto *team = shared.state.rules().teamOfKeyHash(keyHash);
     if (task == nullptr || team == nullptr || team->name != task->spec.team) {
-        shared.emit(ReplyCaller{handle, shared.refusal(Outcome::NotRun, "task", taskId,
-                                                       "there is no such task of this team")});
+        shared.emit(ReplyCaller{
+            handle,
+            shared.refusal(Outcome::NotRun, "task", taskId, "there is no such task of this team")});
         return;
     }
     pending_.emplace(taskId, PendingReply{handle, shared.now.mono + kSubmitWaitMs, true});
@@ -160,13 +164,14 @@
     std::erase_if(pending_, [&](const auto &entry) {
         const auto &[taskId, pending] = entry;
         const auto *task = shared.state.task(taskId);
-        const auto isDone = task != nullptr
+        const auto  isDone = task != nullptr
             && (!pending.isCancel || task->isCancelled || task->phase == TaskPhase::Ended);
         if (isDone) {
             replyTask(pending.handle, *task);
         } else if (shared.now.mono >= pending.deadline) {
-            shared.emit(ReplyCaller{pending.handle, shared.refusal(Outcome::Unknown, "log", taskId,
-                                                                   "the log hasn't taken it yet")});
+            shared.emit(ReplyCaller{
+                pending.handle,
+                shared.refusal(Outcome::Unknown, "log", taskId, "the log hasn't taken it yet")});
         } else {
             return false;
         }
@@ -181,13 +186,13 @@
 
 auto TaskPart::flush() -> void
 {
-    auto &shared = parts_.shared;
+    auto      &shared = parts_.shared;
     const auto isDue = shared.now.mono - lastFlush_ >= shared.settings.tasks.batchMs;
     if (batch_.empty() || !isDue || shared.state.member(shared.self()) == nullptr) {
         return;
     }
     lastFlush_ = shared.now.mono;
-    auto batch = TaskBatch{batchId(++lastBatch_), shared.self(), {}};
+    auto       batch = TaskBatch{batchId(++lastBatch_), shared.self(), {}};
     const auto count = std::min(batch_.size(), shared.settings.tasks.maxBatchEvents);
     const auto end = batch_.begin() + static_cast<std::ptrdiff_t>(count);
     batch.events.assign(std::make_move_iterator(batch_.begin()), std::make_move_iterator(end));
@@ -230,7 +235,7 @@
 auto TaskPart::ownsTask(const Task &task) const -> bool
 {
     const auto &shared = parts_.shared;
-    const auto zone = task.id.substr(0, task.id.find('/'));
+    const auto  zone = task.id.substr(0, task.id.find('/'));
     for (auto members : {shared.state.membersOf(zone), shared.state.members()}) {
         std::erase_if(members, [&](const Member &member) {
             return member.incarnation != shared.self()
@@ -247,7 +252,7 @@
 auto TaskPart::orderedWaiting() const -> std::vector<const Task *>
 {
     const auto &shared = parts_.shared;
-    auto usage = std::map<std::string_view, double>();
+    auto        usage = std::map<std::string_view, double>();
     for (const auto &[id, task] : shared.state.tasks()) {
         const auto *team = shared.state.rules().team(task.spec.team);
         if (task.phase == TaskPhase::Running && team != nullptr) {
@@ -276,17 +281,26 @@
     if (shared.isStopping || shared.membership.logAgeMs(shared.now.mono) > kMaxLogAgeMs) {
         return;
     }
-    std::erase_if(seenAt_, [&](const auto &entry) {
+    const auto isOver = [&](const auto &entry) {
         return !shared.state.waitingTasks().contains(entry.first);
-    });
+    };
+    std::erase_if(seenAt_, isOver);
+    std::erase_if(preemptAgainAt_, isOver);
+    const auto heldPools = poolsHeldForUrgent();
     for (const auto *task : orderedWaiting()) {
         seenAt_.try_emplace(task->id, shared.now.mono);
+        if (!task->spec.isUrgent && heldPools.contains(poolOf(*task))) {
+            continue;
+        }
         if (!parts_.units.mayUseTeam(task->spec.team)) {
             parts_.units.want(task->spec.team, 1);
             continue;
         }
-        const auto waitedMs = shared.now.mono - seenAt_[task->id];
-        if (!placeOne(*task) && task->spec.isUrgent && waitedMs >= shared.settings.tasks.urgentWaitMs) {
+        const auto now = shared.now.mono;
+        const auto isDue = now - seenAt_[task->id] >= shared.settings.tasks.urgentWaitMs
+            && now >= preemptAgainAt_[task->id];
+        if (!placeOne(*task) && task->spec.isUrgent && isDue) {
+            preemptAgainAt_[task->id] = now + kPreemptEveryMs; // This has to have time to work.
             preemptFor(*task);
         }
     }
@@ -295,7 +309,7 @@
 auto TaskPart::freeFor(std::string_view worker) const -> Resources
 {
     const auto &state = parts_.shared.state;
-    auto free = state.freeAt(worker);
+    auto        free = state.freeAt(worker);
     for (const auto &[taskId, proposal] : proposed_) {
         const auto *task = proposal.worker == worker ? state.task(taskId) : nullptr;
         if (task != nullptr && task->phase == TaskPhase::Waiting) {
@@ -305,18 +319,43 @@
     return free;
 }
 
+auto TaskPart::poolOf(const Task &task) const -> std::string
+{
+    const auto *service = parts_.shared.state.rules().service(task.spec.service);
+    return service == nullptr ? std::string() : service->pool;
+}
+
+// While an urgent task waits, room that becomes free is left to it, whoever owns it. An urgent task
+// that fits nowhere holds its pool only for a while.
+auto TaskPart::poolsHeldForUrgent() -> std::set<std::string>
+{
+    const auto &shared = parts_.shared;
+    auto        pools = std::set<std::string>();
+    for (const auto &id : shared.state.waitingTasks()) {
+        const auto *task = shared.state.task(id);
+        if (!task->spec.isUrgent) {
+            continue;
+        }
+        const auto seenAt = seenAt_.try_emplace(id, shared.now.mono).first->second;
+        if (shared.now.mono - seenAt < kUrgentHoldMs) {
+            pools.insert(poolOf(*task));
+        }
+    }
+    return pools;
+}
+
 // Takes the fullest worker that has room, so that large tasks find empty ones.
 auto TaskPart::placeOne(const Task &task) -> bool
 {
-    auto &shared = parts_.shared;
+    auto       &shared = parts_.shared;
     const auto *service = shared.state.rules().service(task.spec.service);
     if (service == nullptr) {
         return false;
     }
     const Target *best = nullptr;
-    std::int64_t bestFree = 0;
-    std::size_t considered = 0;
-    const auto failed = failedOn_.find(task.id);
+    std::int64_t  bestFree = 0;
+    std::size_t   considered = 0;
+    const auto    failed = failedOn_.find(task.id);
     for (const auto &[name, target] : shared.targets.all()) {
         const auto hasFailed = failed != failedOn_.end() && failed->second.contains(name);
         const auto isUsable = target.pool == service->pool && !hasFailed
@@ -349,21 +388,23 @@
 // Asks for the room of repeatable tasks that aren't urgent, on the worker where fewest are enough.
 auto TaskPart::preemptFor(const Task &task) -> void
 {
-    auto &shared = parts_.shared;
+    auto       &shared = parts_.shared;
     const auto *service = shared.state.rules().service(task.spec.service);
-    auto byWorker = std::map<std::string_view, std::vector<const Task *>>();
+    auto        byWorker = std::map<std::string_view, std::vector<const Task *>>();
     for (const auto &[id, other] : shared.state.tasks()) {
         const auto *target = shared.targets.find(other.worker);
-        const auto isVictim = other.phase == TaskPhase::Running && !other.spec.isUrgent
+        const auto  isVictim = other.phase == TaskPhase::Running && !other.spec.isUrgent
             && other.spec.isRepeatable && service != nullptr && target != nullptr
-            && target->pool == service->pool && shared.targets.mayStart(shared.state.rules(), target->name);
+            && target->pool == service->pool
+            && shared.targets.mayStart(shared.state.rules(), target->name);
         if (isVictim) {
             byWorker[other.worker].push_back(&other);
         }
     }
     auto best = std::vector<const Task *>();
     for (auto &[worker, victims] : byWorker) {
-        std::ranges::sort(victims, std::greater(), [](const Task *victim) { return victim->spec.cpus; });
+        std::ranges::sort(victims, std::greater(),
+                          [](const Task *victim) { return victim->spec.cpus; });
         auto free = shared.state.freeAt(worker);
         auto chosen = std::vector<const Task *>();
         for (const auto *victim : victims) {
@@ -390,7 +431,6 @@
         shared.emit(Decision{victim->id, victim->spec.team, victim->spec.service, "preempt",
                              victim->worker, fmt::format("room for {}", task.id), byWorker.size()});
     }
-    seenAt_[task.id] = shared.now.mono; // Not again before this had time to work.
 }
 
 // Leases
@@ -402,15 +442,15 @@
     for (auto entry = proposed_.begin(); entry != proposed_.end();) {
         const auto &proposal = entry->second;
         const auto *task = shared.state.task(entry->first);
-        const auto isDecided = proposal.batch != 0
-            && shared.state.findOutcome(batchId(proposal.batch)) != nullptr;
+        const auto  isDecided =
+            proposal.batch != 0 && shared.state.findOutcome(batchId(proposal.batch)) != nullptr;
         const auto isWaiting = task != nullptr && task->phase == TaskPhase::Waiting;
         if (isWaiting && !isDecided) {
             ++entry;
             continue;
         }
-        const auto isOurs = task != nullptr && task->phase == TaskPhase::Running
-            && task->holder == shared.self();
+        const auto isOurs =
+            task != nullptr && task->phase == TaskPhase::Running && task->holder == shared.self();
         if (isOurs) {
             auto &lease = leases_[leaseKey(task->id, task->attempt)];
             lease.taskId = task->id;
@@ -441,11 +481,12 @@
 auto TaskPart::serveLeases() -> void
 {
     auto &shared = parts_.shared;
-    auto lapsed = std::vector<std::string>();
+    auto  lapsed = std::vector<std::string>();
     for (auto &[key, lease] : leases_) {
         const auto *target = shared.targets.find(lease.worker);
-        const auto hasLapsed = lease.hasStarted && shared.now.mono >= lease.endsAt + kLeaseTailMs;
-        const auto mayCall = shared.mayStartForTeams() && target != nullptr && !target->address.empty();
+        const auto  hasLapsed = lease.hasStarted && shared.now.mono >= lease.endsAt + kLeaseTailMs;
+        const auto  mayCall =
+            shared.mayStartForTeams() && target != nullptr && !target->address.empty();
         if (hasLapsed && !lease.isCalling) {
             lapsed.push_back(key);
         } else if (!lease.isCalling && mayCall && shared.now.mono >= lease.nextCallAt) {
@@ -470,20 +511,20 @@
 
 auto TaskPart::onAttemptReady(AttemptId attempt) -> bool
 {
-    auto &shared = parts_.shared;
+    auto      &shared = parts_.shared;
     const auto found = calls_.find(attempt);
     if (found == calls_.end()) {
         return false;
     }
-    const auto key = found->second.leaseKey;
-    const auto call = found->second.call;
-    auto &lease = leases_.at(key);
+    const auto  key = found->second.leaseKey;
+    const auto  call = found->second.call;
+    auto       &lease = leases_.at(key);
     const auto *task = shared.state.task(lease.taskId);
-    const auto isStart = call == Call::Start;
-    const auto isLive = task != nullptr && task->phase == TaskPhase::Running
+    const auto  isStart = call == Call::Start;
+    const auto  isLive = task != nullptr && task->phase == TaskPhase::Running
         && task->holder == shared.self() && task->attempt == lease.attempt;
     const auto *team = shared.state.rules().team(lease.team);
-    const auto mayStart = isLive && !task->isCancelled && !shared.isStopping && team != nullptr
+    const auto  mayStart = isLive && !task->isCancelled && !shared.isStopping && team != nullptr
         && shared.targets.mayStart(shared.state.rules(), lease.worker);
     if (!shared.mayStartForTeams() || (isStart && !mayStart)) {
         calls_.erase(found);
@@ -497,7 +538,7 @@
         return true;
     }
     const auto &settings = shared.settings.tasks;
-    auto body = Json{{"lease_ms", settings.leaseMs}};
+    auto        body = Json{{"lease_ms", settings.leaseMs}};
     if (isStart) {
         body["payload"] = task->spec.payload;
         body["team"] = lease.team;
@@ -512,17 +553,16 @@
         lease.endsAt = shared.now.mono + settings.leaseMs;
     }
     constexpr std::string_view kSuffix[] = {"", "/renew", "/checkpoint", "/stop"};
-    shared.emit(CallTarget{attempt, "POST",
-                           fmt::format("/leases/{}{}", key, kSuffix[static_cast<std::size_t>(call)]), key,
-                           "application/json",
-                           body.dump(-1, ' ', false, Json::error_handler_t::replace),
-                           settings.callTimeoutMs});
+    shared.emit(CallTarget{
+        attempt, "POST", fmt::format("/leases/{}{}", key, kSuffix[static_cast<std::size_t>(call)]),
+        key, "application/json", body.dump(-1, ' ', false, Json::error_handler_t::replace),
+        settings.callTimeoutMs});
     return true;
 }
 
 auto TaskPart::onAttemptEnd(AttemptId attempt, const AttemptEnd &end) -> bool
 {
-    auto &shared = parts_.shared;
+    auto      &shared = parts_.shared;
     const auto found = calls_.find(attempt);
     if (found == calls_.end()) {
         return false;
@@ -548,10 +588,11 @@
     return true;
 }
 
-auto TaskPart::onAnswer(const std::string &key, Call call, const AttemptEnd &end, TimeMs /*tookMs*/) -> void
+auto TaskPart::onAnswer(const std::string &key, Call call, const AttemptEnd &end, TimeMs /*tookMs*/)
+    -> void
 {
-    auto &shared = parts_.shared;
-    auto &lease = leases_.at(key);
+    auto      &shared = parts_.shared;
+    auto      &lease = leases_.at(key);
     const auto answer = parseWorkerAnswer(end);
     if (!answer.checkpoint.empty()) {
         lease.checkpoint = answer.checkpoint;
@@ -580,10 +621,11 @@
 {
     const auto &lease = leases_.at(key);
     const auto *task = parts_.shared.state.task(lease.taskId);
-    const auto failures = static_cast<std::int64_t>(failedOn_[lease.taskId].size());
+    const auto  failures = static_cast<std::int64_t>(failedOn_[lease.taskId].size());
     if (failures >= parts_.shared.settings.tasks.maxWorkerFails) {
         failedOn_.erase(lease.taskId);
-        endLease(key, TaskEventKind::Ended, fmt::format("failed on {} workers: {}", failures, reason));
+        endLease(key, TaskEventKind::Ended,
+                 fmt::format("failed on {} workers: {}", failures, reason));
     } else if (task != nullptr && !task->spec.isRepeatable && lease.hasStarted) {
         endLease(key, TaskEventKind::Ended, fmt::format("unknown: {}", reason));
     } else {
--- a/src/engine/unit_part.cpp
+++ b/src/engine/unit_part.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view kSlotPrefix = "slot/";
+constexpr std::string_view kPortionPrefix =
+    "portion/"; // Asks only for what a peer has above its own.
 constexpr std::string_view kPoolPrefix = "pool/";
 constexpr std::size_t      kMaxRemoteWants = 64; // Kept for each resource.
 constexpr TimeMs           kRemoteWantMs = 500;  // A peer that still wants asks again by then.
@@ -146,9 +148,13 @@
     if (resource.starts_with(kPoolPrefix)) {
         return giveSlots(to, resource.substr(kPoolPrefix.size()), wanted);
     }
-    const auto half = (teams_.free(resource) + 1) / 2;
-    const auto given = std::min(wanted, half);
-    const auto transfer = teams_.send(resource, to, given);
+    const auto isPortion = resource.starts_with(kPortionPrefix);
+    const auto team = isPortion ? resource.substr(kPortionPrefix.size()) : resource;
+    const auto free = teams_.free(team);
+    const auto spare =
+        isPortion ? std::min(free, free + teams_.inUse(team) - portionOf(team)) : (free + 1) / 2;
+    const auto given = std::min(wanted, spare);
+    const auto transfer = teams_.send(team, to, given);
     if (!transfer) {
         return 0;
     }
@@ -208,9 +214,36 @@
 auto UnitPart::onTick() -> void
 {
     settleDebts();
+    wantPortions();
     askPeers();
 }
 
+// What each member would have if a team's units were spread evenly.
+auto UnitPart::portionOf(std::string_view team) const -> std::int64_t
+{
+    const auto &state = parts_.shared.state;
+    const auto *grants = state.grantsOf(team);
+    const auto  members = static_cast<std::int64_t>(state.members().size());
+    return grants == nullptr || members == 0 ? 0 : grants->limit / members;
+}
+
+// Asks ahead of need, so that an entry which gets cut off has units to go on with.
+auto UnitPart::wantPortions() -> void
+{
+    const auto &shared = parts_.shared;
+    if (shared.now.mono - lastPortions_ < shared.settings.membership.heartbeatMs
+        || shared.isStopping || shared.state.member(shared.self()) == nullptr) {
+        return;
+    }
+    lastPortions_ = shared.now.mono;
+    for (const auto &[team, grants] : shared.state.teamGrants()) {
+        const auto missing = portionOf(team) - teams_.free(team) - teams_.inUse(team);
+        if (missing > 0) {
+            want(fmt::format("{}{}", kPortionPrefix, team), missing);
+        }
+    }
+}
+
 auto UnitPart::settleDebts() -> void
 {
     for (const auto &debt : teams_.debts()) {
--- a/tests/stand_in/worker.cpp
+++ b/tests/stand_in/worker.cpp
@@ -20,9 +20,9 @@
 // [SECTION] Worker
 //-----------------------------------------------------------------------------
 
-WorkerStandIn::WorkerStandIn(EventLoop &loop, std::string name) :
-    name_(std::move(name)), server_(loop, {65'536, 16'777'216, 3'600}),
-    timer_(loop, kCheckMs, [this] { advance(); })
+WorkerStandIn::WorkerStandIn(EventLoop &loop, std::string name)
+    : name_(std::move(name)), server_(loop, {65'536, 16'777'216, 3'600}),
+      timer_(loop, kCheckMs, [this] { advance(); })
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
 }
@@ -45,7 +45,7 @@
 // POST /leases/ZONE/UUID/ATTEMPT[/renew|/checkpoint|/stop]
 auto WorkerStandIn::onLease(const HttpRequest &request) -> Json
 {
-    const auto parts = splitText(request.path, '/');
+    const auto            parts = splitText(request.path, '/');
     constexpr std::size_t kPartsOfStart = 5;
     if (parts.size() < kPartsOfStart) {
         return {{"state", "failed"}, {"result", "bad path"}};
@@ -72,7 +72,7 @@
 
 auto WorkerStandIn::start(const std::string &key, const Json &body) -> void
 {
-    auto &lease = leases_[key];
+    auto      &lease = leases_[key];
     const auto checkpoint = parseInteger(body.value("checkpoint", "")).value_or(0);
     lease.startedAt = monotonicMs();
     lease.leaseEnd = lease.startedAt + body.value("lease_ms", 0);
--- /dev/null
+++ b/tests/unit/test_promises.cpp
@@ -0,0 +1,446 @@
+// One test for each promise, with the failure that it is meant for.
+
+#include "world.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace peridotwalk;
+
+namespace {
+
+constexpr TimeMs kSettleMs  = 3'000; // For a new world to be ready.
+constexpr TimeMs kInForceMs = 2'000; // The stated time for a change to be in force.
+constexpr TimeMs kFenceMs   = 3'000; // fence_log_ms of the world's settings.
+constexpr TimeMs kGraceMs   = 9'000; // evict_grace_ms of the world's settings.
+
+auto sendQuick(World &world, TimeMs forMs, TimeMs everyMs) -> void
+{
+    for (TimeMs passed = 0; passed < forMs; passed += everyMs) {
+        world.at(passed, [&world] {
+            world.quick(static_cast<int>(world.random()(static_cast<std::uint32_t>(world.entries()))));
+        });
+    }
+}
+
+auto startsSince(const World &world, TimeMs since, std::string_view targetPrefix = "") -> std::int64_t
+{
+    return std::ranges::count_if(world.runs(), [&](const Run &run) {
+        return run.startedAt >= since && run.target.starts_with(targetPrefix);
+    });
+}
+
+auto answered(const World &world) -> std::int64_t
+{
+    return std::ranges::count_if(world.replies(), [](const auto &entry) {
+        return entry.second.outcome == Outcome::Answered;
+    });
+}
+
+// Returns the entry that is the home of an id.
+auto homeOf(World &world, const std::string &id) -> int
+{
+    const auto zone = id.substr(0, id.find('/'));
+    const auto home = findHolders(world.engine(0).state().membersOf(zone), id).home;
+    return static_cast<int>(*parseInteger(entryName(home).substr(1)));
+}
+
+auto longTask(TimeMs runMs, bool isRepeatable = true) -> TaskSpec
+{
+    auto spec = TaskSpec{};
+    spec.payload = std::to_string(runMs);
+    spec.isRepeatable = isRepeatable;
+    return spec;
+}
+
+// Returns the most runs of one id that overlapped.
+auto mostAtOnce(const World &world, std::string_view id) -> std::int64_t
+{
+    std::int64_t most = 0;
+    for (const auto &run : world.runs()) {
+        most = std::max(most, std::ranges::count_if(world.runs(), [&](const Run &other) {
+            const auto isRunning = other.endedAt < 0 || other.endedAt > run.startedAt;
+            return run.id == id && other.id == id && other.startedAt <= run.startedAt && isRunning;
+        }));
+    }
+    return most;
+}
+
+} // namespace
+
+// Keys, zones, leaving targets
+
+Test(promises, a_withdrawn_key_starts_nothing_new_even_from_the_queue)
+{
+    auto world = World({.seed = 1, .limit = 2, .serviceMs = 400});
+    world.runFor(kSettleMs);
+    sendQuick(world, 6'000, 10);
+    world.runFor(2'000);
+    cr_assert_gt(startsSince(world, 0), 0);
+    const auto withdrawnAt = world.now();
+    world.eraseRule("key/k");
+    world.runFor(6'000);
+    cr_assert_eq(startsSince(world, withdrawnAt + kInForceMs), 0);
+}
+
+Test(promises, a_zone_that_is_out_gets_no_start)
+{
+    auto world = World({.seed = 2, .limit = 50});
+    world.runFor(kSettleMs);
+    sendQuick(world, 8'000, 10);
+    world.runFor(1'000);
+    const auto outAt = world.now();
+    world.setRule("zone z0 region=r out=yes # test");
+    world.runFor(5'000);
+    cr_assert_eq(startsSince(world, outAt + kInForceMs, "r0"), 0);
+    cr_assert_gt(startsSince(world, outAt + kInForceMs, "r1"), 0);
+    world.setRule("zone z0 region=r # test");
+    world.runFor(2'000);
+    cr_assert_gt(startsSince(world, outAt + 5'000, "r0"), 0);
+}
+
+Test(promises, a_cut_off_zone_stops_team_work_at_its_fence)
+{
+    auto world = World({.seed = 3, .limit = 50});
+    world.runFor(kSettleMs);
+    for (const auto inside : {0, 1, 2}) {
+        world.setLogCut(inside, true);
+        for (const auto outside : {3, 4, 5}) {
+            world.setCut(inside, outside, true);
+        }
+    }
+    const auto cutAt = world.now();
+    world.setRule("zone z0 region=r out=yes # test");
+    for (TimeMs passed = 0; passed < 8'000; passed += 20) {
+        world.at(passed, [&world] { world.quick(0); });
+    }
+    world.runFor(8'000);
+    cr_assert_gt(startsSince(world, cutAt, "r0"), 0, "it goes on for a while");
+    cr_assert_eq(startsSince(world, cutAt + kFenceMs + 200, "r0"), 0);
+}
+
+Test(promises, a_leaving_target_gets_no_new_work)
+{
+    auto world = World({.seed = 4, .limit = 50});
+    world.runFor(kSettleMs);
+    sendQuick(world, 5'000, 10);
+    world.runFor(1'000);
+    const auto leftAt = world.now();
+    world.setListed("r00", true);
+    world.runFor(4'000);
+    cr_assert_eq(startsSince(world, leftAt + kInForceMs, "r00"), 0);
+    cr_assert_gt(startsSince(world, leftAt + kInForceMs, "r01"), 0);
+}
+
+// Limits
+
+Test(promises, a_limit_of_one_is_usable_from_every_entry)
+{
+    auto world = World({.seed = 5, .limit = 1, .serviceMs = 5});
+    world.runFor(kSettleMs);
+    for (auto entry = 0; entry < world.entries(); ++entry) {
+        const auto handle = world.quick(entry);
+        world.runFor(1'500);
+        cr_assert_not_null(world.reply(handle));
+        cr_assert_eq(world.reply(handle)->outcome, Outcome::Answered, "entry %d", entry);
+    }
+    cr_assert_eq(world.mostRunning(), 1);
+}
+
+Test(promises, a_lowered_limit_holds_once_it_is_in_force)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto world = World({.seed = seed, .limit = 12, .serviceMs = 150});
+        world.runFor(kSettleMs);
+        sendQuick(world, 8'000, 5);
+        world.runFor(2'000);
+        world.setRule("team t share=1 limit=3 # test");
+        world.runFor(kInForceMs);
+        world.resetMostRunning();
+        world.runFor(4'000);
+        cr_assert_leq(world.mostRunning(), 3, "seed %lu: %ld ran", seed, world.mostRunning());
+        cr_assert_eq(world.unitsOf("t"), 3, "seed %lu", seed);
+    }
+}
+
+Test(promises, units_of_a_crashed_entry_return_after_the_grace_and_not_before)
+{
+    auto world = World({.seed = 6, .limit = 6});
+    world.runFor(kSettleMs);
+    world.crash(1);
+    world.runFor(kGraceMs - 1'000);
+    cr_assert_lt(world.unitsOf("t"), 6);
+    world.runFor(1'000 + 1'000 + 3'000); // The suspicion takes 1 s, the settlement less than 3 s.
+    cr_assert_eq(world.unitsOf("t"), 6);
+}
+
+Test(promises, a_planned_stop_hands_units_over_at_once_and_cuts_nothing_off)
+{
+    auto world = World({.seed = 7, .limit = 6, .serviceMs = 200});
+    world.runFor(kSettleMs);
+    sendQuick(world, 1'000, 20);
+    world.runFor(1'000);
+    world.engine(1).beginShutdown({world.now(), 0});
+    world.runFor(4'000);
+    cr_assert(world.engine(1).isDrained() && world.engine(1).hasLeft());
+    for (const auto &[handle, reply] : world.replies()) {
+        cr_assert_neq(reply.outcome, Outcome::Unknown);
+    }
+    cr_assert_eq(world.replies().size(), 50U, "each caller has an answer or a true refusal");
+    world.crash(1);
+    cr_assert_eq(world.unitsOf("t"), 6);
+}
+
+Test(promises, a_paused_entry_starts_nothing_when_it_wakes_after_its_fence)
+{
+    auto world = World({.seed = 8, .limit = 4, .serviceMs = 300});
+    world.runFor(kSettleMs);
+    world.setPaused(0, true);
+    for (auto request = 0; request < 20; ++request) {
+        world.quick(0);
+    }
+    world.runFor(kFenceMs + 1'000);
+    const auto wokeAt = world.now();
+    world.setLogCut(0, true);
+    for (auto other = 1; other < world.entries(); ++other) {
+        world.setCut(0, other, true);
+    }
+    world.setPaused(0, false);
+    world.runFor(2'000);
+    cr_assert_eq(startsSince(world, wokeAt), 0);
+}
+
+// At most once
+
+Test(promises, an_order_survives_the_loss_of_its_home_at_any_moment)
+{
+    for (TimeMs crashAfter = 0; crashAfter <= 160; crashAfter += 4) {
+        auto world = World({.seed = 100 + static_cast<std::uint64_t>(crashAfter), .limit = 6});
+        world.runFor(kSettleMs);
+        const auto id = world.makeId(0);
+        const auto home = homeOf(world, id);
+        const auto first = world.order((home + 1) % 3, id);
+        world.at(crashAfter, [&world, home] { world.crash(home); });
+        world.at(1'000, [&world, home, id] { world.order(3 + home, id); });
+        world.runFor(kGraceMs + 8'000);
+        const auto again = world.order(4, id);
+        world.runFor(4'000);
+        cr_assert_leq(world.runsOf(id), 1, "crash after %ld ms", crashAfter);
+        for (const auto handle : {first, again}) {
+            cr_assert_not_null(world.reply(handle));
+            const auto isNotRun = world.reply(handle)->outcome == Outcome::NotRun;
+            cr_assert(!isNotRun || world.runsOf(id) == 0, "crash after %ld ms", crashAfter);
+        }
+    }
+}
+
+Test(promises, an_order_whose_both_holders_are_lost_stays_unknown)
+{
+    auto world = World({.seed = 9, .limit = 6});
+    world.runFor(kSettleMs);
+    const auto id = world.makeId(0);
+    const auto holders = findHolders(world.engine(0).state().membersOf("z0"), id);
+    const auto entryOf = [](const Incarnation &name) {
+        return static_cast<int>(*parseInteger(entryName(name).substr(1)));
+    };
+    world.order(entryOf(holders.home), id);
+    world.runFor(1'000);
+    cr_assert_eq(world.runsOf(id), 1);
+    world.crash(entryOf(holders.home));
+    world.crash(entryOf(holders.copy));
+    world.runFor(kGraceMs + 6'000);
+    world.restart(entryOf(holders.home));
+    world.restart(entryOf(holders.copy));
+    world.runFor(5'000);
+    const auto again = world.order(4, id);
+    const auto fresh = world.order(4, world.makeId(0));
+    world.runFor(4'000);
+    cr_assert_eq(world.runsOf(id), 1);
+    cr_assert_eq(world.reply(again)->outcome, Outcome::Unknown);
+    cr_assert_eq(world.reply(fresh)->outcome, Outcome::Answered, "a younger id isn't concerned");
+}
+
+Test(promises, asking_again_brings_the_answer_that_is_there)
+{
+    auto world = World({.seed = 10, .limit = 6});
+    world.runFor(kSettleMs);
+    const auto id = world.makeId(1);
+    const auto first = world.order(0, id);
+    const auto second = world.order(5, id);
+    world.runFor(2'000);
+    const auto third = world.order(2, id);
+    world.runFor(1'000);
+    for (const auto handle : {first, second, third}) {
+        cr_assert_eq(world.reply(handle)->outcome, Outcome::Answered);
+        cr_assert_eq(world.reply(handle)->answer.body, id);
+    }
+    cr_assert_eq(world.runsOf(id), 1);
+}
+
+Test(promises, an_id_that_is_too_old_or_malformed_never_starts)
+{
+    auto world = World({.seed = 11, .limit = 6});
+    world.runFor(kSettleMs);
+    const auto old = world.order(0, "z0/00000000-0000-7000-8000-000000000001");
+    const auto bare = world.order(0, "0190b8a4-0000-7000-8000-000000000001");
+    const auto random = world.order(0, "z0/0190b8a4-0000-4000-8000-000000000001");
+    world.runFor(4'000);
+    cr_assert_eq(world.reply(old)->outcome, Outcome::Unknown);
+    cr_assert_eq(world.reply(bare)->outcome, Outcome::NotRun);
+    cr_assert_eq(world.reply(random)->outcome, Outcome::NotRun);
+    cr_assert(world.runs().empty());
+}
+
+// State and recovery
+
+Test(promises, team_work_goes_on_through_a_long_outage_of_the_log)
+{
+    auto world = World({.seed = 12, .limit = 6});
+    world.runFor(kSettleMs);
+    world.setLogDown(true);
+    world.runFor(25'000);
+    const auto late = world.now();
+    sendQuick(world, 2'000, 20);
+    world.runFor(3'000);
+    cr_assert_gt(startsSince(world, late), 90);
+}
+
+Test(promises, a_replacement_takes_its_state_from_peers_while_the_log_is_down)
+{
+    auto world = World({.seed = 13, .limit = 6});
+    world.runFor(kSettleMs);
+    world.setLogDown(true);
+    world.crash(0);
+    world.restart(0);
+    world.runFor(2'000);
+    cr_assert_eq(world.engine(0).state().dump(), world.engine(1).state().dump());
+    cr_assert_not(world.engine(0).isReady(), "it has no units before the log knows it");
+    world.setLogDown(false);
+    world.runFor(2'000);
+    cr_assert(world.engine(0).isReady());
+}
+
+Test(promises, a_reader_that_retention_overtook_starts_from_a_snapshot)
+{
+    auto world = World({.seed = 14, .limit = 6, .keepRecords = 30, .snapshotEvery = 10});
+    world.runFor(kSettleMs);
+    for (auto change = 0; change < 100; ++change) {
+        world.setRule(fmt::format("team t share={} limit=6 # test", 1 + change));
+        world.runFor(100);
+    }
+    world.crash(0);
+    for (auto other = 1; other < world.entries(); ++other) {
+        world.setCut(0, other, true);
+    }
+    world.restart(0);
+    world.runFor(3'000);
+    cr_assert_eq(world.engine(0).state().rules().team("t")->share, 100);
+}
+
+Test(promises, an_entry_that_is_cut_off_from_the_log_learns_changes_from_a_peer)
+{
+    auto world = World({.seed = 15, .limit = 6});
+    world.runFor(kSettleMs);
+    world.setLogCut(0, true);
+    world.setRule("team t share=7 limit=6 # test");
+    world.runFor(kInForceMs);
+    cr_assert_eq(world.engine(0).state().rules().team("t")->share, 7);
+}
+
+// Back ends
+
+Test(promises, retries_stay_within_the_budget_when_all_targets_fail)
+{
+    auto world = World({.seed = 16, .limit = 100});
+    world.runFor(kSettleMs);
+    for (const auto *runner : {"r00", "r01", "r10", "r11"}) {
+        world.setTargetDown(runner, true);
+    }
+    sendQuick(world, 4'000, 10);
+    world.runFor(8'000);
+    cr_assert(world.runs().empty());
+    cr_assert_eq(world.replies().size(), 400U);
+    cr_assert_eq(answered(world), 0);
+}
+
+Test(promises, a_slow_answer_is_unknown_and_its_unit_stays_taken)
+{
+    auto world = World({.seed = 17, .limit = 1, .serviceMs = 10, .lostAnswers = 1});
+    world.runFor(kSettleMs);
+    const auto id = world.makeId(0);
+    const auto handle = world.order(homeOf(world, id), id);
+    world.runFor(4'000);
+    cr_assert_eq(world.reply(handle)->outcome, Outcome::Unknown);
+    cr_assert_eq(world.runsOf(id), 1);
+    cr_assert_eq(world.unitsOf("t"), 1);
+}
+
+// Long tasks
+
+Test(promises, a_task_never_runs_twice_at_once_through_crashes)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        auto world = World({.seed = seed, .limit = 6});
+        world.runFor(kSettleMs);
+        const auto once = world.makeId(0);
+        const auto again = world.makeId(0);
+        world.submit(1, once, longTask(4'000, false));
+        world.submit(1, again, longTask(4'000, true));
+        world.runFor(600 + static_cast<TimeMs>(seed) * 150);
+        for (const auto entry : {0, 2}) {
+            world.crash(entry);
+        }
+        world.runFor(2'000);
+        world.restart(0);
+        world.restart(2);
+        world.runFor(kGraceMs + 16'000);
+        cr_assert_leq(world.runsOf(once), 1, "seed %lu", seed);
+        cr_assert_eq(mostAtOnce(world, again), 1, "seed %lu", seed);
+        cr_assert_eq(world.engine(1).state().task(again)->note, "done: ", "seed %lu", seed);
+        cr_assert_eq(world.engine(1).state().task(once)->phase, TaskPhase::Ended, "seed %lu", seed);
+    }
+}
+
+Test(promises, an_urgent_task_starts_within_four_seconds_on_full_workers)
+{
+    auto world = World({.seed = 18, .limit = 50});
+    world.runFor(kSettleMs);
+    for (auto task = 0; task < 20; ++task) {
+        world.submit(task % 6, world.makeId(task % 2), longTask(60'000));
+    }
+    world.runFor(3'000);
+    cr_assert_eq(world.runningOf("t"), 8, "both workers of 4 processors are full");
+    auto urgent = longTask(500);
+    urgent.isUrgent = true;
+    urgent.cpus = 2;
+    const auto id = world.makeId(0);
+    const auto submittedAt = world.now();
+    world.submit(0, id, urgent);
+    world.runFor(4'000);
+    const auto run = std::ranges::find(world.runs(), id, &Run::id);
+    cr_assert(run != world.runs().end());
+    cr_assert_leq(run->startedAt - submittedAt, 4'000);
+}
+
+Test(promises, a_task_that_fails_everywhere_ends_and_a_cancelled_one_leaves)
+{
+    auto world = World({.seed = 19, .workersPerZone = 3, .limit = 6});
+    world.runFor(kSettleMs);
+    for (const auto *worker : {"w00", "w01", "w02", "w10", "w11", "w12"}) {
+        world.setTargetFailing(worker, true);
+    }
+    const auto bad = world.makeId(0);
+    world.submit(0, bad, longTask(500));
+    world.runFor(8'000);
+    cr_assert_eq(world.engine(0).state().task(bad)->phase, TaskPhase::Ended);
+    cr_assert_eq(world.runsOf(bad), 3);
+    const auto tooBig = world.makeId(0);
+    auto spec = longTask(500);
+    spec.cpus = 1'000;
+    world.submit(0, tooBig, spec);
+    world.runFor(1'000);
+    world.engine(0).onTaskCancel({world.now(), 0}, 9'999, tooBig, hashKey("key"));
+    world.runFor(1'000);
+    cr_assert_eq(world.engine(3).state().task(tooBig)->note, "cancelled");
+    cr_assert_eq(world.unitsOf("t"), 6);
+}
--- /dev/null
+++ b/tests/unit/test_schedules.cpp
@@ -0,0 +1,193 @@
+// Random schedules of faults against the promises. Replay one with
+//   PERIDOTWALK_SEED=17 build/peridotwalk-tests --filter 'schedules/*'
+
+#include "world.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace peridotwalk;
+
+namespace {
+
+constexpr std::uint64_t kFirstSeed = 1;
+constexpr std::uint64_t kSchedules = 60;
+constexpr TimeMs        kFaultsMs  = 40'000;
+constexpr TimeMs        kHealMs    = 30'000;
+constexpr TimeMs        kInForceMs = 4'000; // A cut-off entry stops at its fence, 3 s, plus a run's tail.
+
+// The random faults of one schedule, each undone after a while.
+class Faults
+{
+public:
+    explicit Faults(World &world) : world_(world) {}
+
+    auto strike() -> void
+    {
+        const auto entry = pick(world_.entries());
+        const auto other = pick(world_.entries());
+        const auto lasts = 500 + pick(14'000);
+        switch (pick(7)) {
+        case 0:
+            if (world_.isUp(entry)) {
+                world_.crash(entry);
+                world_.at(lasts, [this, entry] {
+                    if (!world_.isUp(entry)) {
+                        world_.restart(entry);
+                    }
+                });
+            }
+            break;
+        case 1:
+            world_.setPaused(entry, true);
+            world_.at(lasts, [this, entry] { world_.setPaused(entry, false); });
+            break;
+        case 2:
+            if (entry != other) {
+                world_.setCut(entry, other, true);
+                world_.at(lasts, [this, entry, other] { world_.setCut(entry, other, false); });
+            }
+            break;
+        case 3:
+            world_.setLogCut(entry, true);
+            world_.at(lasts, [this, entry] { world_.setLogCut(entry, false); });
+            break;
+        case 4:
+            world_.setLogDown(true);
+            world_.at(lasts / 2, [this] { world_.setLogDown(false); });
+            break;
+        case 5:
+            cutZone(pick(2), lasts);
+            break;
+        default:
+            world_.setTargetDown(fmt::format("r{}{}", pick(2), pick(2)), true);
+            world_.at(lasts, [this] { world_.setTargetDown("r00", false); });
+            break;
+        }
+    }
+
+private:
+    auto pick(int count) -> int { return static_cast<int>(world_.random()(static_cast<std::uint32_t>(count))); }
+
+    // Cuts a zone off from the other one and from the log.
+    auto cutZone(int zone, TimeMs lasts) -> void
+    {
+        for (auto inside = 0; inside < world_.entries(); ++inside) {
+            if (world_.zoneOf(inside) != fmt::format("z{}", zone)) {
+                continue;
+            }
+            world_.setLogCut(inside, true);
+            world_.at(lasts, [this, inside] { world_.setLogCut(inside, false); });
+            for (auto outside = 0; outside < world_.entries(); ++outside) {
+                if (world_.zoneOf(outside) != world_.zoneOf(inside)) {
+                    world_.setCut(inside, outside, true);
+                    world_.at(lasts, [this, inside, outside] { world_.setCut(inside, outside, false); });
+                }
+            }
+        }
+    }
+
+    World &world_;
+};
+
+// Callers send orders twice through two entries, and quick requests.
+auto sendLoad(World &world) -> void
+{
+    auto &random = world.random();
+    const auto entries = static_cast<std::uint32_t>(world.entries());
+    const auto id = world.makeId(static_cast<int>(random(2)));
+    world.order(static_cast<int>(random(entries)), id);
+    const auto again = static_cast<int>(random(entries));
+    world.at(static_cast<TimeMs>(random(4'000)), [&world, again, id] { world.order(again, id); });
+    world.quick(static_cast<int>(random(entries)));
+}
+
+auto checkOrders(const World &world, std::uint64_t seed) -> void
+{
+    auto runs = std::map<std::string, int>();
+    for (const auto &run : world.runs()) {
+        ++runs[run.id];
+    }
+    for (const auto &[id, count] : runs) {
+        const auto isOrder = id.starts_with("z");
+        cr_assert(!isOrder || count == 1, "seed %lu: %s ran %d times", seed, id.c_str(), count);
+    }
+    for (const auto &[handle, reply] : world.replies()) {
+        const auto &id = world.replyId(handle);
+        const auto ran = runs.contains(id);
+        cr_assert(reply.outcome != Outcome::NotRun || !ran, "seed %lu: %s was not-run but ran", seed,
+                  id.c_str());
+        cr_assert(reply.outcome != Outcome::Answered || (ran && reply.answer.body == id),
+                  "seed %lu: %s has an answer that isn't its own", seed, id.c_str());
+    }
+}
+
+auto checkConvergence(World &world, std::uint64_t seed) -> void
+{
+    auto dumps = std::set<std::string>();
+    for (auto entry = 0; entry < world.entries(); ++entry) {
+        cr_assert(world.engine(entry).isReady() || world.engine(entry).hasLeft(), "seed %lu: entry %d isn't ready",
+                  seed, entry);
+        dumps.insert(world.engine(entry).state().dump());
+    }
+    cr_assert_eq(dumps.size(), 1U, "seed %lu: entries disagree after all was healed", seed);
+}
+
+// Prints what happened, so that a schedule which does nothing is seen.
+auto countOutcomes(const World &world) -> void
+{
+    auto counts = std::map<std::string_view, int>();
+    for (const auto &[handle, reply] : world.replies()) {
+        ++counts[outcomeName(reply.outcome)];
+    }
+    if (std::getenv("PERIDOTWALK_SEED") != nullptr) {
+        fmt::print("runs={} answered={} not-run={} unknown={} most-running={}\n", world.runs().size(),
+                   counts["answered"], counts["not-run"], counts["unknown"], world.mostRunning());
+    }
+}
+
+auto runSchedule(std::uint64_t seed) -> void
+{
+    auto options = WorldOptions{};
+    options.seed = seed;
+    options.lostAnswers = 0.02;
+    options.lostAppends = 0.1;
+    options.limit = 1 + static_cast<std::int64_t>(seed % 7);
+    if (seed % 3 == 0) {
+        options.keepRecords = 60;
+        options.snapshotEvery = 20;
+    }
+    auto world = World(options);
+    auto faults = Faults(world);
+    world.runFor(3'000);
+    for (TimeMs passed = 0; passed < kFaultsMs; passed += 100) {
+        sendLoad(world);
+        if (world.random()(20) == 0) {
+            faults.strike();
+        }
+        world.runFor(100);
+    }
+    world.healAll();
+    world.runFor(kHealMs);
+    cr_assert_leq(world.mostRunning(), options.limit, "seed %lu: %ld ran at once, the limit is %ld", seed,
+                  world.mostRunning(), options.limit);
+    checkOrders(world, seed);
+    checkConvergence(world, seed);
+    cr_assert_eq(world.unitsOf("t"), options.limit, "seed %lu: %ld units of %ld are usable again", seed,
+                 world.unitsOf("t"), options.limit);
+    countOutcomes(world);
+}
+
+} // namespace
+
+Test(schedules, promises_hold_under_random_faults, .timeout = 600)
+{
+    const auto *replay = std::getenv("PERIDOTWALK_SEED");
+    if (replay != nullptr) {
+        runSchedule(static_cast<std::uint64_t>(std::atoll(replay)));
+        return;
+    }
+    for (auto seed = kFirstSeed; seed < kFirstSeed + kSchedules; ++seed) {
+        runSchedule(seed);
+    }
+}
