--- a/tests/unit/test_promises.cpp
+++ b/tests/unit/test_promises.cpp
@@ -9,21 +9,23 @@
 
 namespace {
 
-constexpr TimeMs kSettleMs  = 3'000; // For a new world to be ready.
+constexpr TimeMs kSettleMs = 3'000;  // For a new world to be ready.
 constexpr TimeMs kInForceMs = 2'000; // The stated time for a change to be in force.
-constexpr TimeMs kFenceMs   = 3'000; // fence_log_ms of the world's settings.
-constexpr TimeMs kGraceMs   = 9'000; // evict_grace_ms of the world's settings.
+constexpr TimeMs kFenceMs = 3'000;   // fence_log_ms of the world's settings.
+constexpr TimeMs kGraceMs = 9'000;   // evict_grace_ms of the world's settings.
 
 auto sendQuick(World &world, TimeMs forMs, TimeMs everyMs) -> void
 {
     for (TimeMs passed = 0; passed < forMs; passed += everyMs) {
         world.at(passed, [&world] {
-            world.quick(static_cast<int>(world.random()(static_cast<std::uint32_t>(world.entries()))));
+            world.quick(
+                static_cast<int>(world.random()(static_cast<std::uint32_t>(world.entries()))));
         });
     }
 }
 
-auto startsSince(const World &world, TimeMs since, std::string_view targetPrefix = "") -> std::int64_t
+auto startsSince(const World &world, TimeMs since, std::string_view targetPrefix = "")
+    -> std::int64_t
 {
     return std::ranges::count_if(world.runs(), [&](const Run &run) {
         return run.startedAt >= since && run.target.starts_with(targetPrefix);
@@ -59,9 +61,11 @@
     std::int64_t most = 0;
     for (const auto &run : world.runs()) {
         most = std::max(most, std::ranges::count_if(world.runs(), [&](const Run &other) {
-            const auto isRunning = other.endedAt < 0 || other.endedAt > run.startedAt;
-            return run.id == id && other.id == id && other.startedAt <= run.startedAt && isRunning;
-        }));
+                            const auto isRunning =
+                                other.endedAt < 0 || other.endedAt > run.startedAt;
+                            return run.id == id && other.id == id
+                                && other.startedAt <= run.startedAt && isRunning;
+                        }));
     }
     return most;
 }
@@ -435,7 +439,7 @@
     cr_assert_eq(world.engine(0).state().task(bad)->phase, TaskPhase::Ended);
     cr_assert_eq(world.runsOf(bad), 3);
     const auto tooBig = world.makeId(0);
-    auto spec = longTask(500);
+    auto       spec = longTask(500);
     spec.cpus = 1'000;
     world.submit(0, tooBig, spec);
     world.runFor(1'000);
--- a/tests/unit/test_schedules.cpp
+++ b/tests/unit/test_schedules.cpp
@@ -12,15 +12,15 @@
 
 constexpr std::uint64_t kFirstSeed = 1;
 constexpr std::uint64_t kSchedules = 60;
-constexpr TimeMs        kFaultsMs  = 40'000;
-constexpr TimeMs        kHealMs    = 30'000;
-constexpr TimeMs        kInForceMs = 4'000; // A cut-off entry stops at its fence, 3 s, plus a run's tail.
+constexpr TimeMs        kFaultsMs = 40'000;
+constexpr TimeMs        kHealMs = 30'000;
+constexpr TimeMs kInForceMs = 4'000; // A cut-off entry stops at its fence, 3 s, plus a run's tail.
 
 // The random faults of one schedule, each undone after a while.
 class Faults
 {
 public:
-    explicit Faults(World &world) : world_(world) {}
+    explicit Faults(World &world) : world_(world) { }
 
     auto strike() -> void
     {
@@ -67,7 +67,10 @@
     }
 
 private:
-    auto pick(int count) -> int { return static_cast<int>(world_.random()(static_cast<std::uint32_t>(count))); }
+    auto pick(int count) -> int
+    {
+        return static_cast<int>(world_.random()(static_cast<std::uint32_t>(count)));
+    }
 
     // Cuts a zone off from the other one and from the log.
     auto cutZone(int zone, TimeMs lasts) -> void
@@ -81,7 +84,8 @@
             for (auto outside = 0; outside < world_.entries(); ++outside) {
                 if (world_.zoneOf(outside) != world_.zoneOf(inside)) {
                     world_.setCut(inside, outside, true);
-                    world_.at(lasts, [this, inside, outside] { world_.setCut(inside, outside, false); });
+                    world_.at(lasts,
+                              [this, inside, outside] { world_.setCut(inside, outside, false); });
                 }
             }
         }
@@ -93,7 +97,7 @@
 // Callers send orders twice through two entries, and quick requests.
 auto sendLoad(World &world) -> void
 {
-    auto &random = world.random();
+    auto      &random = world.random();
     const auto entries = static_cast<std::uint32_t>(world.entries());
     const auto id = world.makeId(static_cast<int>(random(2)));
     world.order(static_cast<int>(random(entries)), id);
@@ -114,9 +118,9 @@
     }
     for (const auto &[handle, reply] : world.replies()) {
         const auto &id = world.replyId(handle);
-        const auto ran = runs.contains(id);
-        cr_assert(reply.outcome != Outcome::NotRun || !ran, "seed %lu: %s was not-run but ran", seed,
-                  id.c_str());
+        const auto  ran = runs.contains(id);
+        cr_assert(reply.outcome != Outcome::NotRun || !ran, "seed %lu: %s was not-run but ran",
+                  seed, id.c_str());
         cr_assert(reply.outcome != Outcome::Answered || (ran && reply.answer.body == id),
                   "seed %lu: %s has an answer that isn't its own", seed, id.c_str());
     }
@@ -126,8 +130,8 @@
 {
     auto dumps = std::set<std::string>();
     for (auto entry = 0; entry < world.entries(); ++entry) {
-        cr_assert(world.engine(entry).isReady() || world.engine(entry).hasLeft(), "seed %lu: entry %d isn't ready",
-                  seed, entry);
+        cr_assert(world.engine(entry).isReady() || world.engine(entry).hasLeft(),
+                  "seed %lu: entry %d isn't ready", seed, entry);
         dumps.insert(world.engine(entry).state().dump());
     }
     cr_assert_eq(dumps.size(), 1U, "seed %lu: entries disagree after all was healed", seed);
@@ -141,8 +145,9 @@
         ++counts[outcomeName(reply.outcome)];
     }
     if (std::getenv("PERIDOTWALK_SEED") != nullptr) {
-        fmt::print("runs={} answered={} not-run={} unknown={} most-running={}\n", world.runs().size(),
-                   counts["answered"], counts["not-run"], counts["unknown"], world.mostRunning());
+        fmt::print("runs={} answered={} not-run={} unknown={} most-running={}\n",
+                   world.runs().size(), counts["answered"], counts["not-run"], counts["unknown"],
+                   world.mostRunning());
     }
 }
 
@@ -169,12 +174,12 @@
     }
     world.healAll();
     world.runFor(kHealMs);
-    cr_assert_leq(world.mostRunning(), options.limit, "seed %lu: %ld ran at once, the limit is %ld", seed,
-                  world.mostRunning(), options.limit);
+    cr_assert_leq(world.mostRunning(), options.limit, "seed %lu: %ld ran at once, the limit is %ld",
+                  seed, world.mostRunning(), options.limit);
     checkOrders(world, seed);
     checkConvergence(world, seed);
-    cr_assert_eq(world.unitsOf("t"), options.limit, "seed %lu: %ld units of %ld are usable again", seed,
-                 world.unitsOf("t"), options.limit);
+    cr_assert_eq(world.unitsOf("t"), options.limit, "seed %lu: %ld units of %ld are usable again",
+                 seed, world.unitsOf("t"), options.limit);
     countOutcomes(world);
 }
 
--- /dev/null
+++ b/tests/unit/test_settings.cpp
@@ -0,0 +1,66 @@
+// Settings: every error is named by its path, all of them at once.
+
+#include "entry/entry.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace peridotwalk;
+
+namespace {
+
+constexpr std::string_view kGood = R"({
+    "name": "entry-1", "zone": "a", "rack": "k",
+    "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+    "platform": {"log": "127.0.0.1:4", "instances": "127.0.0.1:4"}})";
+
+auto hasError(const ParsedSettings &parsed, std::string_view path) -> bool
+{
+    return std::ranges::find(parsed.errors, path, &SettingsError::path) != parsed.errors.end();
+}
+
+auto with(std::string_view from, std::string_view to) -> ParsedSettings
+{
+    auto text = std::string(kGood);
+    text.replace(text.find(from), from.size(), to);
+    return parseEntrySettings(text);
+}
+
+} // namespace
+
+Test(settings, takes_good_ones_with_defaults)
+{
+    const auto parsed = parseEntrySettings(kGood);
+    cr_assert(parsed.errors.empty());
+    cr_assert_eq(parsed.settings.engine.peerAddress, "127.0.0.1:3");
+    cr_assert_eq(parsed.settings.logPollMs, 200);
+}
+
+Test(settings, names_each_error_by_its_path)
+{
+    cr_assert(hasError(with("\"entry-1\"", "7"), "/name"));
+    cr_assert(hasError(with("\"entry-1\"", "\"a b\""), "/name"));
+    cr_assert(hasError(with("\"zone\": \"a\", ", ""), "/zone"));
+    cr_assert(hasError(with("127.0.0.1:1", "localhost:1"), "/listen/callers"));
+    cr_assert(hasError(with("127.0.0.1:1", "127.0.0.1:99999"), "/listen/callers"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"colour\": 1"), "/colour"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"peers\": [\"x\"]"), "/peers/0"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"tick_ms\": 0"), "/tick_ms"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"routing\": {\"policy\": \"best\"}"),
+                       "/routing/policy"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"membership\": {\"evict_grace_ms\": 1000}"),
+                       "/membership"));
+    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"tasks\": {\"lease_ms\": 59000}"),
+                       "/tasks/lease_ms"));
+}
+
+Test(settings, lists_several_errors_at_once)
+{
+    const auto parsed = parseEntrySettings(R"({"name": 1, "extra": 2})");
+    for (const auto *path : {"/name", "/extra", "/zone", "/rack", "/listen", "/platform"}) {
+        cr_assert(hasError(parsed, path), "%s", path);
+    }
+    cr_assert(hasError(parseEntrySettings("not json"), ""));
+    cr_assert(hasError(parseEntrySettings("[]"), ""));
+}
--- a/tests/unit/world.cpp
+++ b/tests/unit/world.cpp
@@ -11,10 +11,10 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kTickMs        = 20;
-constexpr TimeMs kPollEveryMs   = 60;
+constexpr TimeMs kTickMs = 20;
+constexpr TimeMs kPollEveryMs = 60;
 constexpr TimeMs kAppendRetryMs = 200;
-constexpr TimeMs kReplaceMs     = 1'000;
+constexpr TimeMs kReplaceMs = 1'000;
 
 // Short times, in the order that checkMembershipSettings() asks for.
 auto shortTimes() -> MembershipSettings
@@ -56,12 +56,14 @@
         lines.push_back(fmt::format("zone z{} region=r # test", zone));
         for (auto runner = 0; runner < options.runnersPerZone; ++runner) {
             const auto name = fmt::format("r{}{}", zone, runner);
-            lines.push_back(fmt::format("instance {} zone=z{} rack=k{} pool=p slots=4 # test", name, zone, runner));
+            lines.push_back(fmt::format("instance {} zone=z{} rack=k{} pool=p slots=4 # test", name,
+                                        zone, runner));
             listed_[name] = {name, name, false};
         }
         for (auto worker = 0; worker < options.workersPerZone; ++worker) {
             const auto name = fmt::format("w{}{}", zone, worker);
-            lines.push_back(fmt::format("instance {} zone=z{} rack=k{} pool=w cpus=4 # test", name, zone, worker));
+            lines.push_back(fmt::format("instance {} zone=z{} rack=k{} pool=w cpus=4 # test", name,
+                                        zone, worker));
             listed_[name] = {name, name, false};
         }
     }
@@ -141,9 +143,8 @@
         return;
     }
     if (node.isPaused) {
-        node.delayed.emplace_back([this, index, life, event = std::move(event)] {
-            deliver(index, life, event);
-        });
+        node.delayed.emplace_back(
+            [this, index, life, event = std::move(event)] { deliver(index, life, event); });
         return;
     }
     event(*node.engine);
@@ -170,7 +171,8 @@
         const auto gone = std::vector<std::string>(gone_.begin(), gone_.end());
         node.engine->onList(clock(), list, gone);
         for (std::size_t other = 0; other < nodes_.size(); ++other) {
-            const auto isUp = other != index && nodes_[other].isUp && !cuts_.contains(linkOf(index, other));
+            const auto isUp =
+                other != index && nodes_[other].isUp && !cuts_.contains(linkOf(index, other));
             if (isUp) {
                 node.engine->onPeerUp(clock(), nodes_[other].incarnation);
             }
@@ -220,7 +222,7 @@
 
 auto World::carryOut(std::size_t index) -> void
 {
-    auto &node = nodes_[index];
+    auto      &node = nodes_[index];
     const auto life = node.life;
     for (auto &effect : node.engine->takeEffects()) {
         if (const auto *connect = std::get_if<ConnectTarget>(&effect)) {
@@ -229,7 +231,8 @@
             at(linkDelay(), [this, index, life, isDown, attempt = connect->attempt] {
                 deliver(index, life, [this, isDown, attempt](Engine &engine) {
                     if (isDown) {
-                        engine.onAttemptEnd(clock(), attempt, {AttemptEndKind::NotWritten, {}, "down"});
+                        engine.onAttemptEnd(clock(), attempt,
+                                            {AttemptEndKind::NotWritten, {}, "down"});
                     } else {
                         engine.onAttemptReady(clock(), attempt);
                     }
@@ -276,11 +279,12 @@
         decoder.append(encodeFrame(message.message));
         auto decoded = decoder.next();
         auto copy = **decoded;
-        at(last - now_, [this, to, life = nodes_[to].life, sender = nodes_[from].incarnation, copy] {
-            deliver(to, life, [this, sender, copy](Engine &engine) {
-                engine.onPeerMessage(clock(), sender, copy);
-            });
-        });
+        at(last - now_,
+           [this, to, life = nodes_[to].life, sender = nodes_[from].incarnation, copy] {
+               deliver(to, life, [this, sender, copy](Engine &engine) {
+                   engine.onPeerMessage(clock(), sender, copy);
+               });
+           });
     }
 }
 
@@ -300,7 +304,8 @@
     }
     if (call.path.starts_with("/leases/")) {
         auto body = callWorker(call, target);
-        answer(2 * linkDelay(), call.attempt, {AttemptEndKind::Answered, {200, "", std::move(body)}, ""});
+        answer(2 * linkDelay(), call.attempt,
+               {AttemptEndKind::Answered, {200, "", std::move(body)}, ""});
         return;
     }
     runRequest(index, call, target);
@@ -310,14 +315,15 @@
 {
     const auto life = nodes_[index].life;
     const auto isLost = chance(options_.lostAnswers);
-    const auto takes = 1 + static_cast<TimeMs>(random_(static_cast<std::uint32_t>(2 * options_.serviceMs)));
+    const auto takes =
+        1 + static_cast<TimeMs>(random_(static_cast<std::uint32_t>(2 * options_.serviceMs)));
     at(linkDelay(), [this, index, life, call, target, isLost, takes] {
         const auto run = beginRun(call.requestId, "t", target);
         const auto ends = std::min<TimeMs>(takes, 1'000);
         at(ends, [this, run] { runs_[run].endedAt = now_; });
         const auto isLate = takes >= call.timeoutMs;
         const auto wait = isLost || isLate ? call.timeoutMs : ends + linkDelay();
-        auto end = AttemptEnd{AttemptEndKind::Answered, {200, "", call.requestId}, ""};
+        auto       end = AttemptEnd{AttemptEndKind::Answered, {200, "", call.requestId}, ""};
         if (isLost || isLate) {
             end = {AttemptEndKind::Broken, {}, "lost"};
         }
@@ -392,7 +398,7 @@
 
 auto World::setRule(const std::string &line) -> void
 {
-    const auto key = std::get<Rule>(parseRule(line, 1)).key;
+    const auto  key = std::get<Rule>(parseRule(line, 1)).key;
     const auto *present = truth_.rules().find(key);
     publish({{key, line, present == nullptr ? 0 : present->version}});
 }
@@ -407,7 +413,8 @@
 auto World::makeId(int zone) -> std::string
 {
     const auto wall = static_cast<std::uint64_t>(kWallStart + now_);
-    return fmt::format("z{}/{:08x}-{:04x}-7000-8000-{:012x}", zone, wall >> 16U, wall & 0xFFFFU, ++lastId_);
+    return fmt::format("z{}/{:08x}-{:04x}-7000-8000-{:012x}", zone, wall >> 16U, wall & 0xFFFFU,
+                       ++lastId_);
 }
 
 auto World::order(int entry, const std::string &id) -> CallerHandle
@@ -417,7 +424,8 @@
     const auto index = static_cast<std::size_t>(entry);
     at(linkDelay(), [this, index, handle, id] {
         deliver(index, nodes_[index].life, [this, handle, id](Engine &engine) {
-            engine.onCallerRequest(clock(), handle, {id, hashKey("key"), "s", "", "", 3'000, false});
+            engine.onCallerRequest(clock(), handle,
+                                   {id, hashKey("key"), "s", "", "", 3'000, false});
         });
     });
     return handle;
@@ -490,7 +498,8 @@
 
 auto World::losePeer(std::size_t index, const Incarnation &peer) -> void
 {
-    deliver(index, nodes_[index].life, [this, peer](Engine &engine) { engine.onPeerDown(clock(), peer); });
+    deliver(index, nodes_[index].life,
+            [this, peer](Engine &engine) { engine.onPeerDown(clock(), peer); });
 }
 
 auto World::setLogCut(int entry, bool isCut) -> void
--- a/tests/unit/world.h
+++ b/tests/unit/world.h
@@ -18,17 +18,17 @@
 //-----------------------------------------------------------------------------
 
 struct WorldOptions {
-    std::uint64_t seed            = 1;
-    int           zones           = 2;
-    int           entriesPerZone  = 3;
-    int           runnersPerZone  = 2;
-    int           workersPerZone  = 1;
-    std::int64_t  limit           = 5;       // Of team "t".
-    TimeMs        serviceMs       = 60;      // Mean time of a request at a runner.
-    double        lostAnswers     = 0;       // Part of target answers that are lost.
-    double        lostAppends     = 0;       // Part of append answers that are lost.
-    std::size_t   keepRecords     = 100'000; // The log's retention.
-    std::size_t   snapshotEvery   = 1'000;
+    std::uint64_t seed = 1;
+    int           zones = 2;
+    int           entriesPerZone = 3;
+    int           runnersPerZone = 2;
+    int           workersPerZone = 1;
+    std::int64_t  limit = 5;             // Of team "t".
+    TimeMs        serviceMs = 60;        // Mean time of a request at a runner.
+    double        lostAnswers = 0;       // Part of target answers that are lost.
+    double        lostAppends = 0;       // Part of append answers that are lost.
+    std::size_t   keepRecords = 100'000; // The log's retention.
+    std::size_t   snapshotEvery = 1'000;
 };
 
 //-----------------------------------------------------------------------------
@@ -41,7 +41,7 @@
     std::string team;
     std::string target;
     TimeMs      startedAt = 0;
-    TimeMs      endedAt   = -1; // -1: it runs.
+    TimeMs      endedAt = -1; // -1: it runs.
 };
 
 class World
@@ -55,7 +55,7 @@
 
     // Commands: operators.
     auto publish(std::vector<RuleEdit> edits) -> std::string; // Returns the record id.
-    auto setRule(const std::string &line) -> void;             // With the version that the log has.
+    auto setRule(const std::string &line) -> void;            // With the version that the log has.
     auto eraseRule(const std::string &key) -> void;
 
     // Commands: callers. Each returns the handle of the call.
@@ -88,27 +88,28 @@
     auto runs() const -> const std::vector<Run> & { return runs_; }
     auto runsOf(std::string_view id) const -> std::int64_t;
     auto runningOf(std::string_view team) const -> std::int64_t;
-    auto unitsOf(std::string_view team) -> std::int64_t; // Free and in use, over all entries that are up.
+    auto unitsOf(std::string_view team)
+        -> std::int64_t; // Free and in use, over all entries that are up.
     auto mostRunning() const -> std::int64_t { return mostRunning_; } // Of team "t", ever.
     auto resetMostRunning() -> void { mostRunning_ = runningOf("t"); }
     auto random() -> Random & { return random_; }
 
 private:
     struct Node {
-        std::string             name;
-        std::string             zone;
-        std::unique_ptr<Engine> engine;
-        Incarnation             incarnation;
-        int                     life        = 0;
-        bool                    isUp        = true;
-        bool                    isPaused    = false;
-        bool                    isLogCut    = false;
+        std::string                        name;
+        std::string                        zone;
+        std::unique_ptr<Engine>            engine;
+        Incarnation                        incarnation;
+        int                                life = 0;
+        bool                               isUp = true;
+        bool                               isPaused = false;
+        bool                               isLogCut = false;
         std::vector<std::function<void()>> delayed; // Events of a paused entry.
         std::map<std::string, std::string> appends; // Not confirmed yet.
     };
 
     struct Event {
-        TimeMs                at   = 0;
+        TimeMs                at = 0;
         std::int64_t          turn = 0;
         std::function<void()> action;
 
@@ -119,10 +120,10 @@
     };
 
     struct WorkerLease {
-        std::size_t run      = 0;
-        TimeMs      endsAt   = 0;
-        TimeMs      doneAt   = 0;
-        std::string state    = "running";
+        std::size_t run = 0;
+        TimeMs      endsAt = 0;
+        TimeMs      doneAt = 0;
+        std::string state = "running";
     };
 
     auto clock() const -> Now { return {now_, kWallStart + now_}; }
@@ -139,36 +140,37 @@
     auto runRequest(std::size_t index, const CallTarget &call, const std::string &target) -> void;
     auto callWorker(const CallTarget &call, const std::string &worker) -> std::string;
     auto advanceLeases() -> void;
-    auto beginRun(const std::string &id, const std::string &team, const std::string &target) -> std::size_t;
+    auto beginRun(const std::string &id, const std::string &team, const std::string &target)
+        -> std::size_t;
     auto chance(double part) -> bool;
     auto linkDelay() -> TimeMs { return 1 + static_cast<TimeMs>(random_(3)); }
 
     static constexpr WallMs kWallStart = 1'700'000'000'000;
 
-    WorldOptions                              options_;
-    Random                                    random_;
-    TimeMs                                    now_   = 1'000;
-    std::int64_t                              turns_ = 0;
-    std::priority_queue<Event>                events_;
-    std::vector<Node>                         nodes_;
-    std::vector<std::string>                  log_; // Offset is index + 1.
-    FleetState                                truth_; // Fold of the whole log.
-    bool                                      isLogDown_ = false;
-    std::set<std::pair<std::size_t, std::size_t>> cuts_;
-    std::map<std::pair<std::size_t, std::size_t>, TimeMs> lastDelivery_;
-    std::map<std::string, ListedInstance>     listed_;
-    std::set<std::string>                     gone_;
-    std::set<std::string>                     downTargets_;
-    std::set<std::string>                     failingTargets_;
+    WorldOptions                                             options_;
+    Random                                                   random_;
+    TimeMs                                                   now_ = 1'000;
+    std::int64_t                                             turns_ = 0;
+    std::priority_queue<Event>                               events_;
+    std::vector<Node>                                        nodes_;
+    std::vector<std::string>                                 log_;   // Offset is index + 1.
+    FleetState                                               truth_; // Fold of the whole log.
+    bool                                                     isLogDown_ = false;
+    std::set<std::pair<std::size_t, std::size_t>>            cuts_;
+    std::map<std::pair<std::size_t, std::size_t>, TimeMs>    lastDelivery_;
+    std::map<std::string, ListedInstance>                    listed_;
+    std::set<std::string>                                    gone_;
+    std::set<std::string>                                    downTargets_;
+    std::set<std::string>                                    failingTargets_;
     std::map<std::pair<std::size_t, AttemptId>, std::string> attemptTargets_;
-    std::vector<Run>                          runs_;
-    std::map<std::string, WorkerLease>        leases_;
-    std::map<CallerHandle, std::string>       calls_;
-    std::map<CallerHandle, Reply>             replies_;
-    CallerHandle                              lastHandle_  = 0;
-    std::int64_t                              lastChange_  = 0;
-    std::int64_t                              lastId_      = 0;
-    std::int64_t                              mostRunning_ = 0;
+    std::vector<Run>                                         runs_;
+    std::map<std::string, WorkerLease>                       leases_;
+    std::map<CallerHandle, std::string>                      calls_;
+    std::map<CallerHandle, Reply>                            replies_;
+    CallerHandle                                             lastHandle_ = 0;
+    std::int64_t                                             lastChange_ = 0;
+    std::int64_t                                             lastId_ = 0;
+    std::int64_t                                             mostRunning_ = 0;
 };
 
 } // namespace peridotwalk
