--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -87,6 +87,8 @@
 auto checkSettings(const std::string &file) -> int;
 auto checkRules(const std::string &file) -> int;
 auto diffRulesFile(OperatorClient &client, const std::string &file, bool isJson) -> int;
+// Shows which instances the maintenance plans would take next, and which pools are held and why.
+auto printPlan(OperatorClient &client, bool isJson) -> int;
 auto printStatus(OperatorClient &client, bool isJson) -> int;
 auto printExplain(OperatorClient &client, const std::string &requestId, bool isJson) -> int;
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -152,6 +152,11 @@
     auto *check = app.add_subcommand("check-settings", "name every error of a settings file");
     check->add_option("file", arguments.file)->required();
     check->callback([&] { arguments.exitCode = checkSettings(arguments.file); });
+    auto *plan = app.add_subcommand("plan", "show which instances maintenance would take next");
+    plan->add_flag("--json", arguments.isJson);
+    addClientOptions(plan, arguments);
+    onClient(plan, arguments,
+             [&](OperatorClient &client) { return printPlan(client, arguments.isJson); });
     auto *status = app.add_subcommand("status", "show what an entry sees");
     status->add_flag("--json", arguments.isJson);
     addClientOptions(status, arguments);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -81,6 +81,8 @@
     std::int64_t memoryMb = 0;       // Attribute memory_mb: memory of a worker, MB.
     std::int64_t accelerators = 0;   // Attribute accelerators: of a worker.
     bool         isDraining = false; // Attribute drain=yes|no: gets no new work.
+    std::int64_t maintainedDay =
+        0; // Attribute maintained_day: end of its last maintenance, days since 1970.
 };
 
 // Regular maintenance of all instances of a pool.
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -235,6 +235,7 @@
     rule.memoryMb = reader.integer("memory_mb", rule.memoryMb, 0, std::numeric_limits<int>::max());
     rule.accelerators = reader.integer("accelerators", rule.accelerators, 0, kMaxCount);
     rule.isDraining = reader.flag("drain");
+    rule.maintainedDay = reader.integer("maintained_day", rule.maintainedDay, 0, kMaxCount);
     return rule;
 }
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -70,6 +70,7 @@
 auto EngineParts::refresh() -> void
 {
     quick.pumpAll();
+    units.askPeers();
 }
 
 //-----------------------------------------------------------------------------
@@ -105,6 +106,7 @@
         return;
     }
     parts.quick.accept(replyTo, std::move(request), std::get<Admission>(checked));
+    parts.units.askPeers();
 }
 
 auto Engine::onCallerGone(Now now, CallerHandle handle) -> void
--- a/src/engine/engine_internal.h
+++ b/src/engine/engine_internal.h
@@ -119,8 +119,10 @@
     auto want(std::string_view resource, std::int64_t wanted) -> void; // A team, or "pool/NAME".
     auto onUnitsWanted(const Incarnation &from, const UnitsWanted &wanted) -> void;
     auto onUnitsGiven(const Incarnation &from, const UnitsGiven &given) -> void;
-    auto resendTo(const Incarnation &peer) -> void;
+    auto onUnitsSeen(const Incarnation &peer, std::int64_t sequence) -> void; // From a heartbeat.
+    auto unitsSeenFrom(const Incarnation &peer) const -> std::int64_t;
     auto onTick() -> void;
+    auto askPeers() -> void; // For what is wanted, not more often than the settings say.
     auto handOver() -> void; // Everything that is free goes to peers.
 
     auto teams() -> UnitLedger & { return teams_; }
@@ -133,7 +135,15 @@
     struct RemoteWant {
         Incarnation  peer;
         std::int64_t wanted = 0;
-        TimeMs       at = 0;
+        TimeMs       since = 0; // First asked.
+        TimeMs       at = 0;    // Last asked.
+    };
+
+    // Numbers of UnitsGiven messages exchanged with one peer.
+    struct GivenCount {
+        std::int64_t sent = 0;
+        std::int64_t sentEarlier = 0; // At the heartbeat before: long enough ago to have arrived.
+        std::int64_t seen = 0;        // From the peer, without a gap.
     };
 
     auto give(const Incarnation &to, std::string_view resource, std::int64_t wanted)
@@ -141,8 +151,8 @@
     auto giveSlots(const Incarnation &to, std::string_view pool, std::int64_t wanted)
         -> std::int64_t;
     auto serveRemoteWants(const std::string &resource) -> void;
-    auto askPeers() -> void;
-    auto peersToAsk() const -> std::vector<Incarnation>;
+    auto peersToAsk(bool isWide) const -> std::vector<Incarnation>;
+    auto sendGiven(const Incarnation &to, std::vector<UnitTransfer> transfers, bool isFull) -> void;
     auto settleDebts() -> void;
     auto wantPortions() -> void;
     auto portionOf(std::string_view team) const -> std::int64_t;
@@ -157,7 +167,8 @@
     std::map<std::string, std::int64_t, std::less<>>           wants_; // This entry's, by resource.
     std::map<std::string, TimeMs, std::less<>>                 askedAt_;
     std::map<std::string, std::deque<RemoteWant>, std::less<>> remoteWants_;
-    bool                                                       isRemoteTurn_ = false;
+    std::map<Incarnation, GivenCount, std::less<>>             given_;
+    std::map<std::string, bool, std::less<>>                   wasAskedNear_; // Ask all peers next.
 };
 
 //-----------------------------------------------------------------------------
--- a/src/engine/state_part.cpp
+++ b/src/engine/state_part.cpp
@@ -195,7 +195,7 @@
         reported[use.target] = use.outstanding;
     }
     helpLaggingPeer(from, heartbeat.applied);
-    parts_.units.resendTo(from);
+    parts_.units.onUnitsSeen(from, heartbeat.unitsSeen);
 }
 
 auto StatePart::helpLaggingPeer(const Incarnation &peer, Offset applied) -> void
@@ -248,10 +248,10 @@
 auto StatePart::onTick() -> void
 {
     auto &shared = parts_.shared;
-    shared.membership.expire(shared.state, shared.now.mono);
     join();
     if (shared.now.mono - lastHeartbeat_ >= shared.settings.membership.heartbeatMs) {
         lastHeartbeat_ = shared.now.mono;
+        shared.membership.expire(shared.state, shared.now.mono);
         sendHeartbeats();
         for (const auto &record : shared.membership.dueRecords(shared.state, shared.now.mono)) {
             shared.append(record);
@@ -316,6 +316,7 @@
     for (const auto &peer : shared.connected) {
         const auto last = lastFromPeer_.find(peer);
         heartbeat.echoOf = last == lastFromPeer_.end() ? 0 : last->second;
+        heartbeat.unitsSeen = parts_.units.unitsSeenFrom(peer);
         shared.send(peer, heartbeat);
     }
 }
--- a/src/engine/unit_part.cpp
+++ b/src/engine/unit_part.cpp
@@ -14,7 +14,8 @@
 constexpr std::string_view kPoolPrefix = "pool/";
 constexpr std::size_t      kMaxRemoteWants = 64; // Kept for each resource.
 constexpr TimeMs           kRemoteWantMs = 500;  // A peer that still wants asks again by then.
-constexpr std::size_t      kMaxPeersToAsk = 12;
+constexpr TimeMs      kStarvingMs = 200; // A peer with the shorter queue gets a turn after that.
+constexpr std::size_t kMaxPeersToAsk = 12;
 
 } // namespace
 
@@ -44,17 +45,21 @@
         const auto  self = std::ranges::find(ranked, shared.self(), &Member::incarnation);
         const auto  count = static_cast<std::int64_t>(ranked.size());
         const auto  turn = self - ranked.begin();
+        const auto  places = target.slots + shared.settings.routing.slotOvercommit;
         const auto  granted =
-            self == ranked.end() ? 0 : target.slots / count + (turn < target.slots % count ? 1 : 0);
-        slots_.setGrant(slotResource(name), granted);
+            self == ranked.end() ? 0 : places / count + (turn < places % count ? 1 : 0);
+        slots_.setGrant(target.slotName, granted);
     }
 }
 
 auto UnitPart::mayUseTeam(std::string_view team) const -> bool
 {
     const auto &shared = parts_.shared;
-    return shared.mayStartForTeams() && teams_.free(team) > 0
-        && reports_.isSettled(team, shared.otherMembers(), shared.now.mono,
+    if (teams_.free(team) <= 0 || !shared.mayStartForTeams()) {
+        return false;
+    }
+    return !reports_.isWatched(team)
+        || reports_.isSettled(team, shared.otherMembers(), shared.now.mono,
                               shared.settings.membership.evictGraceMs);
 }
 
@@ -105,16 +110,20 @@
         return;
     }
     for (const auto &request : wanted.requests) {
-        auto &queue = remoteWants_[request.resource];
-        std::erase_if(queue, [&](const RemoteWant &want) { return want.peer == from; });
-        if (queue.size() < kMaxRemoteWants) {
-            queue.push_back({from, request.wanted, now});
+        auto      &queue = remoteWants_[request.resource];
+        const auto found = std::ranges::find(queue, from, &RemoteWant::peer);
+        if (found != queue.end()) {
+            found->wanted = request.wanted;
+            found->at = now;
+        } else if (queue.size() < kMaxRemoteWants) {
+            queue.push_back({from, request.wanted, now, now});
         }
         serveRemoteWants(request.resource);
     }
 }
 
-// A peer and this entry take turns while both need units, so neither starves.
+// Idle units go to whoever asks. While this entry needs them itself, only a peer with a clearly
+// longer queue gets one, or a peer that has asked for so long that it would starve.
 auto UnitPart::serveRemoteWants(const std::string &resource) -> void
 {
     const auto found = remoteWants_.find(resource);
@@ -124,24 +133,39 @@
     auto      &queue = found->second;
     const auto now = parts_.shared.now.mono;
     std::erase_if(queue, [&](const RemoteWant &want) { return now - want.at > kRemoteWantMs; });
+    const auto need = localNeed(resource);
     while (!queue.empty()) {
-        auto wanted = queue.front().wanted;
-        if (localNeed(resource) > 0) {
-            isRemoteTurn_ = !isRemoteTurn_;
-            if (!isRemoteTurn_) {
-                return;
-            }
-            wanted = 1;
+        auto want = std::move(queue.front());
+        queue.pop_front();
+        const auto isStarving = now - want.since > kStarvingMs;
+        if (need > 0 && !isStarving && want.wanted <= 2 * need + 1) {
+            queue.push_front(std::move(want));
+            return;
         }
-        const auto given = give(queue.front().peer, resource, wanted);
+        const auto given = give(want.peer, resource, need > 0 ? 1 : want.wanted);
         if (given == 0) {
+            queue.push_front(std::move(want));
+            return;
+        }
+        want.wanted -= given;
+        want.since = now;
+        if (want.wanted > 0) {
+            queue.push_back(std::move(want));
+        }
+        if (need > 0) {
             return;
         }
-        queue.pop_front();
     }
     remoteWants_.erase(found);
 }
 
+auto UnitPart::sendGiven(const Incarnation &to, std::vector<UnitTransfer> transfers, bool isFull)
+    -> void
+{
+    const auto sequence = ++given_[to].sent;
+    parts_.shared.send(to, UnitsGiven{slotEpoch_, sequence, isFull, std::move(transfers)});
+}
+
 auto UnitPart::give(const Incarnation &to, std::string_view resource, std::int64_t wanted)
     -> std::int64_t
 {
@@ -154,11 +178,11 @@
     const auto spare =
         isPortion ? std::min(free, free + teams_.inUse(team) - portionOf(team)) : (free + 1) / 2;
     const auto given = std::min(wanted, spare);
-    const auto transfer = teams_.send(team, to, given);
+    auto       transfer = teams_.send(team, to, given);
     if (!transfer) {
         return 0;
     }
-    parts_.shared.send(to, UnitsGiven{slotEpoch_, {*transfer}});
+    sendGiven(to, {*std::move(transfer)}, false);
     return given;
 }
 
@@ -166,7 +190,7 @@
     -> std::int64_t
 {
     auto        &shared = parts_.shared;
-    auto         message = UnitsGiven{slotEpoch_, {}};
+    auto         transfers = std::vector<UnitTransfer>();
     std::int64_t given = 0;
     for (const auto &[name, target] : shared.targets.all()) {
         const auto isUsable = target.pool == pool
@@ -174,15 +198,15 @@
         if (!isUsable || given >= wanted) {
             continue;
         }
-        const auto half = (slots_.free(slotResource(name)) + 1) / 2;
+        const auto half = (slots_.free(target.slotName) + 1) / 2;
         const auto part = std::min(wanted - given, half);
-        if (auto transfer = slots_.send(slotResource(name), to, part)) {
-            message.transfers.push_back(*std::move(transfer));
+        if (auto transfer = slots_.send(target.slotName, to, part)) {
+            transfers.push_back(*std::move(transfer));
             given += part;
         }
     }
     if (given > 0) {
-        shared.send(to, std::move(message));
+        sendGiven(to, std::move(transfers), false);
     }
     return given;
 }
@@ -190,7 +214,11 @@
 auto UnitPart::onUnitsGiven(const Incarnation &from, const UnitsGiven &given) -> void
 {
     if (parts_.shared.state.member(from) == nullptr) {
-        return; // Its join isn't folded here. It sends the totals again with each heartbeat.
+        return; // Its join isn't folded here. It sends the totals again.
+    }
+    auto &seen = given_[from].seen;
+    if (given.isFull || given.sequence == seen + 1) {
+        seen = given.sequence;
     }
     for (const auto &transfer : given.transfers) {
         if (!transfer.resource.starts_with(kSlotPrefix)) {
@@ -201,14 +229,25 @@
     }
 }
 
-auto UnitPart::resendTo(const Incarnation &peer) -> void
+auto UnitPart::unitsSeenFrom(const Incarnation &peer) const -> std::int64_t
 {
-    auto       message = UnitsGiven{slotEpoch_, teams_.transfersTo(peer)};
-    const auto slots = slots_.transfersTo(peer);
-    message.transfers.insert(message.transfers.end(), slots.begin(), slots.end());
-    if (!message.transfers.empty()) {
-        parts_.shared.send(peer, std::move(message));
+    const auto found = given_.find(peer);
+    return found == given_.end() ? 0 : found->second.seen;
+}
+
+// What was sent before the last heartbeat should have arrived. If not, all totals go again.
+auto UnitPart::onUnitsSeen(const Incarnation &peer, std::int64_t sequence) -> void
+{
+    auto      &count = given_[peer];
+    const auto isMissing = sequence < count.sentEarlier;
+    count.sentEarlier = count.sent;
+    if (!isMissing) {
+        return;
     }
+    auto       transfers = teams_.transfersTo(peer);
+    const auto slots = slots_.transfersTo(peer);
+    transfers.insert(transfers.end(), slots.begin(), slots.end());
+    sendGiven(peer, std::move(transfers), true);
 }
 
 auto UnitPart::onTick() -> void
@@ -251,8 +290,8 @@
     }
 }
 
-// Peers of the own zone first. Asking a few is enough: those without units keep the wish.
-auto UnitPart::peersToAsk() const -> std::vector<Incarnation>
+// Peers of the own zone are near. All are asked if those haven't helped.
+auto UnitPart::peersToAsk(bool isWide) const -> std::vector<Incarnation>
 {
     const auto &shared = parts_.shared;
     auto        near = std::vector<Incarnation>();
@@ -263,7 +302,9 @@
             (member->zone == shared.settings.zone ? near : far).push_back(peer);
         }
     }
-    near.insert(near.end(), far.begin(), far.end());
+    if (isWide || near.empty()) {
+        near.insert(near.end(), far.begin(), far.end());
+    }
     if (near.size() > kMaxPeersToAsk) {
         near.resize(kMaxPeersToAsk);
     }
@@ -273,25 +314,33 @@
 auto UnitPart::askPeers() -> void
 {
     auto &shared = parts_.shared;
-    auto  message = UnitsWanted{};
+    auto  near = UnitsWanted{};
+    auto  wide = UnitsWanted{};
     for (const auto &[resource, wanted] : std::exchange(wants_, {})) {
-        auto &askedAt = askedAt_[resource];
-        if (wanted > 0 && shared.now.mono - askedAt >= shared.settings.requests.unitAskMs) {
-            askedAt = shared.now.mono;
-            message.requests.push_back({resource, wanted});
+        auto      &askedAt = askedAt_[resource];
+        const auto age = shared.now.mono - askedAt;
+        if (wanted <= 0 || age < shared.settings.requests.unitAskMs) {
+            continue;
         }
+        auto &wasNear = wasAskedNear_[resource];
+        wasNear = !wasNear || age > kRemoteWantMs;
+        (wasNear ? near : wide).requests.push_back({resource, wanted});
+        askedAt = shared.now.mono;
     }
-    if (message.requests.empty()) {
-        return;
-    }
-    for (const auto &peer : peersToAsk()) {
-        shared.send(peer, message);
+    for (const auto isWide : {false, true}) {
+        const auto &message = isWide ? wide : near;
+        if (message.requests.empty()) {
+            continue;
+        }
+        for (const auto &peer : peersToAsk(isWide)) {
+            shared.send(peer, message);
+        }
     }
 }
 
 auto UnitPart::handOver() -> void
 {
-    const auto peers = peersToAsk();
+    const auto peers = peersToAsk(true);
     if (peers.empty()) {
         return;
     }
@@ -299,8 +348,8 @@
     for (const auto &[team, grants] : parts_.shared.state.teamGrants()) {
         const auto  available = teams_.free(team);
         const auto &peer = peers[next++ % peers.size()];
-        if (const auto transfer = teams_.send(team, peer, available)) {
-            parts_.shared.send(peer, UnitsGiven{slotEpoch_, {*transfer}});
+        if (auto transfer = teams_.send(team, peer, available)) {
+            sendGiven(peer, {*std::move(transfer)}, false);
         }
     }
 }
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -221,6 +221,7 @@
 {
     auto reader = ObjectReader(root.child("routing", false), root.pathOf("routing"), errors);
     reader.text("policy", settings.policy);
+    reader.integer("slot_overcommit", settings.slotOvercommit, 0, 64);
     reader.fraction("eject_failure_rate", settings.ejectFailureRate);
     reader.fraction("eject_max_part", settings.ejectMaxPart);
     reader.integer("eject_ms", settings.ejectMs, 0, kMaxMs);
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -113,6 +113,11 @@
         -> void;
     auto forget(std::string_view member) -> void;
 
+    auto isWatched(std::string_view team) const -> bool
+    {
+        return teams_.contains(team);
+    } // Was lowered.
+
     // Returns whether `team` may start, given all members but this entry. `graceMs` after the
     // change was folded here, silent members are fenced and their work has ended.
     auto isSettled(std::string_view team, std::span<const Incarnation> others, TimeMs now,
--- /dev/null
+++ b/src/maintenance/wave_planner.cpp
@@ -0,0 +1,100 @@
+#include "maintenance/maintenance.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotwalk {
+
+namespace {
+
+// The instances of one pool.
+struct PoolView {
+    std::vector<const PlannedInstance *> ready; // Neither lost nor out, longest ago first.
+    std::int64_t                         total = 0;
+    std::int64_t                         lost = 0;
+    std::int64_t                         out = 0;
+};
+
+auto viewOf(std::span<const PlannedInstance> instances) -> std::map<std::string_view, PoolView>
+{
+    auto views = std::map<std::string_view, PoolView>();
+    for (const auto &instance : instances) {
+        auto &view = views[instance.pool];
+        ++view.total;
+        view.lost += instance.isLost ? 1 : 0;
+        view.out += instance.isOut && !instance.isLost ? 1 : 0;
+        if (!instance.isLost && !instance.isOut) {
+            view.ready.push_back(&instance);
+        }
+    }
+    for (auto &[name, view] : views) {
+        std::ranges::stable_sort(view.ready, {}, &PlannedInstance::maintainedAt);
+    }
+    return views;
+}
+
+// Instances that have waited for half of the interval take part; more of them near its end.
+auto isDue(const PlannedInstance &instance, const PlannedPool &pool, Hours now) -> bool
+{
+    return now - instance.maintainedAt >= pool.everyHours / 2;
+}
+
+// Puts due instances of the longest waiting one's rack first.
+auto orderByRack(std::vector<const PlannedInstance *> &due) -> void
+{
+    if (due.empty()) {
+        return;
+    }
+    const auto *first = due.front();
+    std::ranges::stable_partition(due, [&](const PlannedInstance *instance) {
+        return instance->rack == first->rack && instance->zone == first->zone;
+    });
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Wave planner
+//-----------------------------------------------------------------------------
+
+auto roomInBudget(const PlannedPool &pool, std::int64_t total, std::int64_t lost, std::int64_t out)
+    -> std::int64_t
+{
+    const auto needed =
+        static_cast<std::int64_t>(std::ceil(pool.budget * static_cast<double>(total)));
+    const auto room = total - lost - out - needed;
+    return std::max<std::int64_t>(0, std::min(room, pool.atOnce - out));
+}
+
+auto planWave(std::span<const PlannedInstance> instances, std::span<const PlannedPool> pools,
+              Hours now) -> WavePlan
+{
+    auto plan = WavePlan{};
+    auto views = viewOf(instances);
+    for (const auto &pool : pools) {
+        auto &view = views[pool.name];
+        auto  due = view.ready;
+        std::erase_if(
+            due, [&](const PlannedInstance *instance) { return !isDue(*instance, pool, now); });
+        if (due.empty()) {
+            continue;
+        }
+        const auto room = roomInBudget(pool, view.total, view.lost, view.out);
+        if (room == 0) {
+            plan.held.push_back({pool.name,
+                                 fmt::format("{} of {} are lost and {} out; the budget is {}",
+                                             view.lost, view.total, view.out, pool.budget)});
+            continue;
+        }
+        orderByRack(due);
+        const auto count = std::min(static_cast<std::size_t>(room), due.size());
+        for (std::size_t index = 0; index < count; ++index) {
+            plan.take.push_back(due[index]->name);
+        }
+    }
+    return plan;
+}
+
+} // namespace peridotwalk
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -52,7 +52,8 @@
     std::vector<UnitRequest> debts;        // Teams whose units the sender owes.
     std::vector<TeamUse>     used;
     std::vector<TargetUse>   outstanding;
-    std::vector<std::string> leaving; // Targets that get no new work.
+    std::vector<std::string> leaving;       // Targets that get no new work.
+    std::int64_t             unitsSeen = 0; // UnitsGiven::sequence up to which nothing is missing.
 };
 
 struct LogRecord {
@@ -82,6 +83,8 @@
 // Totals of what the sender gave the receiver. `slotEpoch` says which grants of slots they build on.
 struct UnitsGiven {
     Offset                    slotEpoch = 0;
+    std::int64_t              sequence = 0;   // Counts what the sender gave the receiver.
+    bool                      isFull = false; // All totals, to make good what was lost.
     std::vector<UnitTransfer> transfers;
 };
 
--- a/src/peer/peer_internal.h
+++ b/src/peer/peer_internal.h
@@ -55,11 +55,11 @@
 
     PERIDOTWALK_WIRE(Hello, v.incarnation, v.zone, v.address)
     PERIDOTWALK_WIRE(Heartbeat, v.sentAt, v.echoOf, v.applied, v.logAgeMs, v.debts, v.used,
-                     v.outstanding, v.leaving)
+                     v.outstanding, v.leaving, v.unitsSeen)
     PERIDOTWALK_WIRE(RecordsPush, v.after, v.records)
     PERIDOTWALK_WIRE(StatePush, v.dump)
     PERIDOTWALK_WIRE(UnitsWanted, v.requests)
-    PERIDOTWALK_WIRE(UnitsGiven, v.slotEpoch, v.transfers)
+    PERIDOTWALK_WIRE(UnitsGiven, v.slotEpoch, v.sequence, v.isFull, v.transfers)
     PERIDOTWALK_WIRE(ClaimCopy, v.epoch, v.claim)
     PERIDOTWALK_WIRE(ClaimCopyReply, v.id, v.sequence, v.phase, v.epoch, v.isHeld)
     PERIDOTWALK_WIRE(ClaimSync, v.epoch, v.part, v.parts, v.claims, v.lost)
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -33,6 +33,7 @@
     std::string  zone;               // From its rule.
     std::string  rack;               // From its rule.
     std::string  pool;               // From its rule.
+    std::string  slotName;           // Its slots' name in a UnitLedger.
     std::int64_t slots = 1;          // From its rule.
     std::int64_t outstanding = 0;    // Sent by this entry and not ended.
     std::int64_t othersReported = 0; // Outstanding of other entries, as last told.
@@ -95,13 +96,14 @@
 //-----------------------------------------------------------------------------
 
 struct RoutingSettings {
-    std::string policy = "held-slots";
-    double      ejectFailureRate = 0.5; // Above that, and above twice the pool's: out.
-    double      ejectMaxPart = 0.34;    // Most of a pool that is out at once, 0 to 1.
-    TimeMs      ejectMs = 5'000;        // First time out. Doubles up to ejectMaxMs.
-    TimeMs      ejectMaxMs = 60'000;
-    TimeMs      returnMs = 5'000;    // A returning target gets all its slots after that.
-    double      averageWeight = 0.2; // Weight of a new observation in the averages.
+    std::string  policy = "held-slots";
+    std::int64_t slotOvercommit = 2; // Held-slots: requests beyond its slots that wait at a target.
+    double       ejectFailureRate = 0.5; // Above that, and above twice the pool's: out.
+    double       ejectMaxPart = 0.34;    // Most of a pool that is out at once, 0 to 1.
+    TimeMs       ejectMs = 5'000;        // First time out. Doubles up to ejectMaxMs.
+    TimeMs       ejectMaxMs = 60'000;
+    TimeMs       returnMs = 5'000;    // A returning target gets all its slots after that.
+    double       averageWeight = 0.2; // Weight of a new observation in the averages.
 };
 
 // How one attempt at a target went.
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -29,6 +29,7 @@
         }
         auto &target = targets_[instance->name];
         target.name = instance->name;
+        target.slotName = slotResource(instance->name);
         target.zone = instance->zone;
         target.rack = instance->rack;
         target.pool = instance->pool;
@@ -209,7 +210,7 @@
         }
         candidates.push_back(&target);
         const auto unusable = target.slots - usableSlots(target, now);
-        slotsFree.push_back(slots.free(slotResource(name)) - unusable);
+        slotsFree.push_back(slots.free(target.slotName) - unusable);
     }
     if (candidates.empty()) {
         return std::nullopt;
--- a/tests/unit/test_fuzz.cpp
+++ b/tests/unit/test_fuzz.cpp
@@ -66,7 +66,7 @@
     cr_assert(holds("cut frames", [](const std::string &key, std::int64_t wanted, std::size_t cut) {
         const auto frame = encodeFrame(UnitsWanted{{{key, wanted}}});
         const auto first = cut % (frame.size() + 1);
-        auto decoder = FrameDecoder();
+        auto       decoder = FrameDecoder();
         decoder.append(std::string_view(frame).substr(0, first));
         const auto early = decoder.next();
         RC_ASSERT(early.ok());
--- a/tests/unit/test_settings.cpp
+++ b/tests/unit/test_settings.cpp
@@ -47,10 +47,12 @@
     cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"colour\": 1"), "/colour"));
     cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"peers\": [\"x\"]"), "/peers/0"));
     cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"tick_ms\": 0"), "/tick_ms"));
-    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"routing\": {\"policy\": \"best\"}"),
-                       "/routing/policy"));
-    cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"membership\": {\"evict_grace_ms\": 1000}"),
-                       "/membership"));
+    cr_assert(
+        hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"routing\": {\"policy\": \"best\"}"),
+                 "/routing/policy"));
+    cr_assert(hasError(
+        with("\"rack\": \"k\"", "\"rack\": \"k\", \"membership\": {\"evict_grace_ms\": 1000}"),
+        "/membership"));
     cr_assert(hasError(with("\"rack\": \"k\"", "\"rack\": \"k\", \"tasks\": {\"lease_ms\": 59000}"),
                        "/tasks/lease_ms"));
 }
