--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -166,6 +166,7 @@
         scenario.runners = {12};
         scenario.burstLoad = 1.1;
         scenario.burstMs = 1'000'000;
+        scenario.runMs = 20'000;
         scenario.zoneOutAtMs = 5'000;
         scenario.zoneBackAtMs = 12'000;
         const auto result = runScenario(scenario, makeArrivals(scenario));
@@ -225,16 +226,21 @@
 {
     auto         out = std::string("out");
     auto         seeds = 3;
+    auto         onlyShares = false;
     std::int64_t overcommit = RoutingSettings{}.slotOvercommit;
     auto         app = CLI::App("Policy benchmark");
     app.add_option("--out", out);
     app.add_option("--seeds", seeds);
+    app.add_flag("--only-shares", onlyShares, "skip the comparison of policies");
     app.add_option("--overcommit", overcommit);
     CLI11_PARSE(app, argc, argv);
     std::filesystem::create_directories(out);
     auto json = Json::object();
     json["shares"] = {measureShares(seeds, 1), measureShares(seeds, 3)};
     json["zone_out"] = measureZoneOut(seeds);
+    if (onlyShares) {
+        return 0;
+    }
     auto scenarios = std::vector<Scenario>(4);
     scenarios[0].name = "burst-0.9";
     scenarios[0].burstLoad = 0.9;
--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -243,8 +243,8 @@
         for (auto &effect : engine.takeEffects()) {
             if (const auto *connect = std::get_if<ConnectTarget>(&effect)) {
                 onConnect(entry, *connect);
-            } else if (auto *call = std::get_if<CallTarget>(&effect)) {
-                onCall(entry, std::move(*call));
+            } else if (const auto *call = std::get_if<CallTarget>(&effect)) {
+                onCall(entry, *call);
             } else if (const auto *reply = std::get_if<ReplyCaller>(&effect)) {
                 result_.answered += reply->reply.outcome == Outcome::Answered ? 1 : 0;
             } else if (auto *message = std::get_if<SendPeer>(&effect)) {
@@ -272,14 +272,14 @@
         });
     }
 
-    auto onCall(int entry, CallTarget call) -> void
+    auto onCall(int entry, const CallTarget &call) -> void
     {
         const auto name = attempts_[{entry, call.attempt}];
         attempts_.erase({entry, call.attempt});
         const auto way = delay(zoneOf(entry), runners_[name].zone);
-        at(now_ + way, [this, entry, name, way, call = std::move(call)] {
+        at(now_ + way, [this, entry, name, way, call] {
             auto &runner = runners_[name];
-            runner.waiting.push_back(
+            runner.waiting.emplace_back(
                 [this, entry, name, way, call] { serve(entry, name, way, call); });
             startWaiting(runner);
         });
@@ -414,7 +414,7 @@
             queue.setShare(team.name, team.share);
         }
         auto       busyUntil = std::priority_queue<TimeMs, std::vector<TimeMs>, std::greater<>>();
-        const auto slots = static_cast<std::size_t>(scenario.runners[service] * kSlots);
+        const auto slots = static_cast<std::size_t>(scenario.runners[service]) * kSlots;
         const auto startWaiting = [&](TimeMs now) {
             queue.popExpired(now);
             while (busyUntil.size() < slots) {
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -16,13 +16,11 @@
 
 namespace peridotwalk {
 
-enum ExitCode : int {
-    kExitDone = 0,
-    kExitNoEntry = 1,
-    kExitBadInput = 2,
-    kExitNotInForce = 4,
-    kExitRefused = 5,
-};
+constexpr int kExitDone = 0;
+constexpr int kExitNoEntry = 1;
+constexpr int kExitBadInput = 2;
+constexpr int kExitNotInForce = 4;
+constexpr int kExitRefused = 5;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Client
--- a/src/engine/quick_part.cpp
+++ b/src/engine/quick_part.cpp
@@ -6,6 +6,12 @@
 
 namespace peridotwalk {
 
+namespace {
+
+constexpr double kRunTimesToDeadline = 3; // Average run times that must be left at a start.
+
+} // namespace
+
 //-----------------------------------------------------------------------------
 // [SECTION] Quick part: requests to runners
 //-----------------------------------------------------------------------------
@@ -67,8 +73,11 @@
     waiting.team = request.admission.team;
     waiting.service = request.body.service;
     waiting.enqueuedAt = request.acceptedAt;
-    waiting.deadline = request.deadline;
     waiting.cost = estimates_.estimate(waiting.team, waiting.service, request.timeLimitMs / 4);
+    // A start that is unlikely to end in time costs a slot and helps nobody.
+    const auto margin = static_cast<TimeMs>(kRunTimesToDeadline * waiting.cost);
+    waiting.deadline =
+        request.deadline - std::min(margin, (request.deadline - request.acceptedAt) / 2);
     auto &queue = queues_[request.pool];
     if (const auto *team = parts_.shared.state.rules().team(waiting.team)) {
         queue.setShare(team->name, team->share);
@@ -328,7 +337,7 @@
             const auto number = *parseInteger(waiting.id);
             finish(number,
                    shared.refusal(Outcome::NotRun, "queue", pool,
-                                  "the deadline passed while waiting"));
+                                  "too little of the deadline is left to start"));
         }
     }
     const auto isOver = [now](const Lingering &lingering) { return now >= lingering.endsAt; };
@@ -361,14 +370,13 @@
     if (shared.targets.usesHeldSlots()) {
         parts_.units.want(fmt::format("pool/{}", pool), static_cast<std::int64_t>(queue.size()));
     }
-    auto byTeam = std::map<std::string_view, std::int64_t>();
-    queue.forEach([&](const WaitingRequest &waiting) { ++byTeam[waiting.team]; });
-    for (const auto &[team, count] : byTeam) {
-        if (!team.empty() && parts_.units.teams().free(team) < count) {
-            parts_.units.want(team,
-                              count - std::max<std::int64_t>(0, parts_.units.teams().free(team)));
+    queue.forEachTeam([&](const std::string &team, std::size_t waiting) {
+        const auto free = std::max<std::int64_t>(0, parts_.units.teams().free(team));
+        const auto missing = static_cast<std::int64_t>(waiting) - free;
+        if (!team.empty() && missing > 0) {
+            parts_.units.want(team, missing);
         }
-    }
+    });
 }
 
 auto QuickPart::chargeAll(std::string_view team, double cost) -> void
--- a/src/engine/task_part.cpp
+++ b/src/engine/task_part.cpp
@@ -487,12 +487,14 @@
         const auto  hasLapsed = lease.hasStarted && shared.now.mono >= lease.endsAt + kLeaseTailMs;
         const auto  mayCall =
             shared.mayStartForTeams() && target != nullptr && !target->address.empty();
-        if (hasLapsed && !lease.isCalling) {
+        const auto wasNeverSent = !lease.hasStarted && !mayCall;
+        if (lease.isCalling) {
+            continue;
+        }
+        if (hasLapsed || wasNeverSent) {
             lapsed.push_back(key);
-        } else if (!lease.isCalling && mayCall && shared.now.mono >= lease.nextCallAt) {
+        } else if (mayCall && shared.now.mono >= lease.nextCallAt) {
             startCall(key, lease, nextCall(lease));
-        } else if (!lease.hasStarted && !mayCall && !lease.isCalling) {
-            lapsed.push_back(key); // Nothing was sent to the worker.
         }
     }
     for (const auto &key : lapsed) {
@@ -601,18 +603,16 @@
         shared.targets.noteSuccess(lease.worker);
         failedOn_.erase(lease.taskId);
         endLease(key, TaskEventKind::Ended, fmt::format("done: {}", answer.result));
-    } else if (answer.state == "running") {
-        if (call == Call::Start) {
-            decide(lease, "lease", "the worker took it");
-        }
     } else if (answer.state == "stopped" && call == Call::Stop) {
         endLease(key, TaskEventKind::Ended, "cancelled");
     } else if (answer.state == "stopped" && call == Call::Checkpoint) {
         endLease(key, TaskEventKind::Requeued, lease.checkpoint);
-    } else {
+    } else if (answer.state != "running") {
         shared.targets.noteFailure(lease.worker, shared.now.mono);
         failedOn_[lease.taskId].insert(lease.worker);
         failLease(key, answer.result.empty() ? answer.state : answer.result);
+    } else if (call == Call::Start) {
+        decide(lease, "lease", "the worker took it");
     }
 }
 
--- a/src/maintenance/wave_planner.cpp
+++ b/src/maintenance/wave_planner.cpp
@@ -30,7 +30,10 @@
         }
     }
     for (auto &[name, view] : views) {
-        std::ranges::stable_sort(view.ready, {}, &PlannedInstance::maintainedAt);
+        std::stable_sort(view.ready.begin(), view.ready.end(),
+                         [](const PlannedInstance *left, const PlannedInstance *right) {
+                             return left->maintainedAt < right->maintainedAt;
+                         });
     }
     return views;
 }
@@ -48,7 +51,7 @@
         return;
     }
     const auto *first = due.front();
-    std::ranges::stable_partition(due, [&](const PlannedInstance *instance) {
+    std::stable_partition(due.begin(), due.end(), [&](const PlannedInstance *instance) {
         return instance->rack == first->rack && instance->zone == first->zone;
     });
 }
--- a/src/scheduling/fair_queue.cpp
+++ b/src/scheduling/fair_queue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace peridotwalk {
 
@@ -22,18 +23,11 @@
     if (line.waiting.empty()) {
         line.usage = std::max(line.usage, leastUsageOfWaiting().value_or(floor_));
     }
+    nextDeadline_ = size_ == 0 ? request.deadline : std::min(nextDeadline_, request.deadline);
     line.waiting.push_back(std::move(request));
     ++size_;
 }
 
-auto FairQueue::pushFront(WaitingRequest request) -> void
-{
-    auto &line = lines_[request.team];
-    line.usage -= request.cost / line.share;
-    line.waiting.push_front(std::move(request));
-    ++size_;
-}
-
 auto FairQueue::pop(const IsEligible &isEligible) -> std::optional<WaitingRequest>
 {
     Line *best = nullptr;
@@ -70,6 +64,10 @@
 auto FairQueue::popExpired(TimeMs now) -> std::vector<WaitingRequest>
 {
     auto expired = std::vector<WaitingRequest>();
+    if (size_ == 0 || now < nextDeadline_) {
+        return expired;
+    }
+    nextDeadline_ = std::numeric_limits<TimeMs>::max();
     for (auto &[team, line] : lines_) {
         const auto isWaiting = [now](const WaitingRequest &request) {
             return now < request.deadline;
@@ -78,6 +76,9 @@
             std::stable_partition(line.waiting.begin(), line.waiting.end(), isWaiting);
         std::move(late, line.waiting.end(), std::back_inserter(expired));
         line.waiting.erase(late, line.waiting.end());
+        for (const auto &request : line.waiting) {
+            nextDeadline_ = std::min(nextDeadline_, request.deadline);
+        }
     }
     size_ -= expired.size();
     return expired;
@@ -101,10 +102,13 @@
     return found == lines_.end() ? 0 : found->second.usage;
 }
 
-auto FairQueue::forEach(const std::function<void(const WaitingRequest &)> &visit) const -> void
+auto FairQueue::forEachTeam(
+    const std::function<void(const std::string &, std::size_t)> &visit) const -> void
 {
     for (const auto &[team, line] : lines_) {
-        std::ranges::for_each(line.waiting, visit);
+        if (!line.waiting.empty()) {
+            visit(team, line.waiting.size());
+        }
     }
 }
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -43,7 +43,6 @@
     // Commands.
     auto setShare(std::string_view team, double share) -> void;
     auto push(WaitingRequest request) -> void;
-    auto pushFront(WaitingRequest request) -> void; // Was next already; isn't charged again.
     auto pop(const IsEligible &isEligible) -> std::optional<WaitingRequest>;
     auto remove(std::string_view id) -> bool;                   // Cancelled.
     auto popExpired(TimeMs now) -> std::vector<WaitingRequest>; // Deadline passed.
@@ -53,7 +52,8 @@
     auto size() const -> std::size_t { return size_; }
     auto sizeOf(std::string_view team) const -> std::size_t;
     auto usage(std::string_view team) const -> double; // Cost by share since the start.
-    auto forEach(const std::function<void(const WaitingRequest &)> &visit) const -> void;
+    auto forEachTeam(const std::function<void(const std::string &, std::size_t)> &visit) const
+        -> void; // Teams with waiting requests, and how many.
 
 private:
     struct Line {
@@ -66,7 +66,8 @@
 
     std::map<std::string, Line, std::less<>> lines_;
     std::size_t                              size_ = 0;
-    double                                   floor_ = 0; // Usage of the line served last.
+    TimeMs nextDeadline_ = 0; // No request that waits has an earlier one.
+    double floor_ = 0;        // Usage of the line served last.
 };
 
 //-----------------------------------------------------------------------------
--- a/tests/unit/test_schedules.cpp
+++ b/tests/unit/test_schedules.cpp
@@ -14,7 +14,6 @@
 constexpr std::uint64_t kSchedules = 60;
 constexpr TimeMs        kFaultsMs = 40'000;
 constexpr TimeMs        kHealMs = 30'000;
-constexpr TimeMs kInForceMs = 4'000; // A cut-off entry stops at its fence, 3 s, plus a run's tail.
 
 // The random faults of one schedule, each undone after a while.
 class Faults
--- a/tests/unit/world.cpp
+++ b/tests/unit/world.cpp
@@ -291,7 +291,8 @@
 auto World::callTarget(std::size_t index, const CallTarget &call, const std::string &target) -> void
 {
     const auto life = nodes_[index].life;
-    const auto answer = [this, index, life](TimeMs delay, AttemptId attempt, AttemptEnd end) {
+    const auto answer = [this, index, life](TimeMs delay, AttemptId attempt,
+                                            const AttemptEnd &end) {
         at(delay, [this, index, life, attempt, end] {
             deliver(index, life, [this, attempt, end](Engine &engine) {
                 engine.onAttemptEnd(clock(), attempt, end);
