Read rules files in one place; test a lowered limit while a cut-off member owes units

scripts/mutations found that no test failed without the reports after a lowered limit: with all links up, debts are covered within a tick. The new test cuts the zones apart, so that only the reports hold the team back.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -49,9 +49,12 @@
     ConnectionPool           pool_;
 };
 
-// Reads a whole file, up to 16 MB.
+// Reads a whole file, up to 16 MB. "-" is standard input.
 auto readFile(const std::string &path) -> absl::StatusOr<std::string>;
 
+// Reads and parses a rules file. Prints every error to standard error, and then returns nothing.
+auto readRulesFile(const std::string &path) -> std::optional<std::vector<Rule>>;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Commands
 //-----------------------------------------------------------------------------
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <fstream>
+#include <iostream>
 
 namespace peridotwalk {
 
@@ -30,6 +31,23 @@
     return text;
 }
 
+auto readRulesFile(const std::string &path) -> std::optional<std::vector<Rule>>
+{
+    const auto text = readFile(path);
+    if (!text.ok()) {
+        std::cerr << text.status().message() << '\n';
+        return std::nullopt;
+    }
+    auto parsed = parseRules(*text);
+    for (const auto &error : parsed.errors) {
+        std::cerr << path << ": " << formatRuleError(error) << '\n';
+    }
+    if (!parsed.errors.empty()) {
+        return std::nullopt;
+    }
+    return std::move(parsed.rules);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Client
 //-----------------------------------------------------------------------------
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -157,22 +157,15 @@
 auto publishRules(OperatorClient &client, const std::string &file, const CommandOptions &options)
     -> int
 {
-    const auto text = readFile(file);
-    if (!text.ok()) {
-        return fail(text.status(), kExitBadInput);
-    }
-    const auto parsed = parseRules(*text);
-    for (const auto &error : parsed.errors) {
-        std::cerr << file << ": " << formatRuleError(error) << '\n';
-    }
-    if (!parsed.errors.empty()) {
+    const auto wanted = readRulesFile(file);
+    if (!wanted) {
         return kExitBadInput;
     }
     const auto rules = client.fetchRules();
     if (!rules.ok()) {
         return fail(rules.status(), kExitNoEntry);
     }
-    return publish(client, diffRules(*rules, parsed.rules), options);
+    return publish(client, diffRules(*rules, *wanted), options);
 }
 
 auto setZoneOut(OperatorClient &client, const std::string &zone, bool isOut,
--- a/src/cli/queries.cpp
+++ b/src/cli/queries.cpp
@@ -11,13 +11,6 @@
 
 using Json = nlohmann::json;
 
-auto printErrors(const std::string &file, std::span<const RuleError> errors) -> void
-{
-    for (const auto &error : errors) {
-        std::cerr << file << ": " << formatRuleError(error) << '\n';
-    }
-}
-
 auto printTeams(const Json &status) -> void
 {
     std::cout << fmt::format("{:<24}{:>8}{:>8}{:>8}{:>8}\n", "TEAM", "LIMIT", "FREE", "IN USE",
@@ -84,27 +77,18 @@
 
 auto checkRules(const std::string &file) -> int
 {
-    const auto text = readFile(file);
-    if (!text.ok()) {
-        std::cerr << text.status().message() << '\n';
+    const auto rules = readRulesFile(file);
+    if (!rules) {
         return kExitBadInput;
     }
-    const auto parsed = parseRules(*text);
-    printErrors(file, parsed.errors);
-    std::cout << fmt::format("{} rules, {} errors\n", parsed.rules.size(), parsed.errors.size());
-    return parsed.errors.empty() ? kExitDone : kExitBadInput;
+    std::cout << fmt::format("{} rules, no errors\n", rules->size());
+    return kExitDone;
 }
 
 auto diffRulesFile(OperatorClient &client, const std::string &file, bool isJson) -> int
 {
-    const auto text = readFile(file);
-    if (!text.ok()) {
-        std::cerr << text.status().message() << '\n';
-        return kExitBadInput;
-    }
-    const auto parsed = parseRules(*text);
-    printErrors(file, parsed.errors);
-    if (!parsed.errors.empty()) {
+    const auto wanted = readRulesFile(file);
+    if (!wanted) {
         return kExitBadInput;
     }
     const auto rules = client.fetchRules();
@@ -113,7 +97,7 @@
         return kExitNoEntry;
     }
     auto json = Json::array();
-    for (const auto &edit : diffRules(*rules, parsed.rules)) {
+    for (const auto &edit : diffRules(*rules, *wanted)) {
         const auto *present = rules->find(edit.key);
         const auto  before = present == nullptr ? std::string() : present->rule.text;
         json.push_back(
--- a/tests/unit/test_promises.cpp
+++ b/tests/unit/test_promises.cpp
@@ -167,6 +167,30 @@
     }
 }
 
+Test(promises, a_lowered_limit_starts_nothing_while_a_cut_off_member_owes_units)
+{
+    auto world = World({.seed = 21, .limit = 12});
+    world.runFor(kSettleMs);
+    for (auto task = 0; task < 8; ++task) {
+        world.submit(task % 3, world.makeId(0), longTask(60'000));
+    }
+    world.runFor(2'000);
+    cr_assert_eq(world.runningOf("t"), 8);
+    for (const auto inside : {0, 1, 2}) {
+        for (const auto outside : {3, 4, 5}) {
+            world.setCut(inside, outside, true);
+        }
+    }
+    world.setRule("team t share=1 limit=3 # test");
+    world.runFor(500);
+    const auto inForceAt = world.now();
+    for (TimeMs passed = 0; passed < 3'000; passed += 50) {
+        world.at(passed, [&world, passed] { world.quick(3 + static_cast<int>(passed / 50 % 3)); });
+    }
+    world.runFor(4'000);
+    cr_assert_eq(startsSince(world, inForceAt), 0, "8 run already, the limit is 3");
+}
+
 Test(promises, units_of_a_crashed_entry_return_after_the_grace_and_not_before)
 {
     auto world = World({.seed = 6, .limit = 6});
