Work out slot grants and peer addresses only when members change; remove dead state

Found on reading the whole change: after each applied record, task batches included, the slot grants of all targets were worked out and the peer list sent again, and for a change of rules twice. Both now follow a join, a departure or a jump of the state. Also removed: a counter of listed instances, a start time and a parameter that nobody read.

--- a/src/engine/engine_internal.h
+++ b/src/engine/engine_internal.h
@@ -81,6 +81,7 @@
     auto settleWithGone() -> void;
     auto refreshGrants() -> void;
     auto refreshRules() -> void;
+    auto refreshMembers() -> void;
     auto keepInTail(Offset after, Offset offset, std::string_view text) -> void;
     auto helpLaggingPeer(const Incarnation &peer, Offset applied) -> void;
     auto sendHeartbeats() -> void;
@@ -392,7 +393,6 @@
         std::string leaseKey;
         Call        call = Call::Start;
         std::string target;
-        TimeMs      startedAt = 0;
     };
 
     // A start that the log hasn't decided about yet. It holds a unit of the team.
@@ -424,7 +424,7 @@
     auto serveLeases() -> void;
     auto nextCall(const Lease &lease) const -> Call;
     auto startCall(const std::string &key, Lease &lease, Call call) -> void;
-    auto onAnswer(const std::string &key, Call call, const AttemptEnd &end, TimeMs tookMs) -> void;
+    auto onAnswer(const std::string &key, Call call, const AttemptEnd &end) -> void;
     auto endLease(const std::string &key, TaskEventKind kind, std::string note) -> void;
     auto failLease(const std::string &key, std::string_view reason) -> void;
     auto answerPending() -> void;
--- a/src/engine/state_part.cpp
+++ b/src/engine/state_part.cpp
@@ -63,6 +63,11 @@
         if (std::holds_alternative<ConfigChange>(*record)) {
             refreshRules();
         }
+        const auto changesMembers = std::holds_alternative<MemberJoin>(*record)
+            || std::holds_alternative<MemberGone>(*record);
+        if (changesMembers) {
+            refreshMembers();
+        }
         afterChange(false);
         parts_.tasks.onFold();
     }
@@ -82,6 +87,7 @@
     tail_.clear();
     tailBytes_ = 0;
     refreshRules();
+    refreshMembers();
     afterChange(true);
     parts_.tasks.onFold();
 }
@@ -104,17 +110,23 @@
         zoneEpoch_ = epoch;
         parts_.claims.onMembersChanged(isJump);
     }
+    if (shared.state.isGone(shared.self()) && !hasLeft_) {
+        hasLeft_ = true;
+        shared.isStopping = true;
+        shared.emit(Retire{"the other entries took this one for lost"});
+    }
+}
+
+// After a record that changed who is a member.
+auto StatePart::refreshMembers() -> void
+{
+    auto &shared = parts_.shared;
     parts_.units.setSlotGrants();
     auto addresses = std::vector<std::string>();
     for (const auto &member : shared.state.members()) {
         addresses.push_back(member.address);
     }
     shared.emit(SetPeers{std::move(addresses)});
-    if (shared.state.isGone(shared.self()) && !hasLeft_) {
-        hasLeft_ = true;
-        shared.isStopping = true;
-        shared.emit(Retire{"the other entries took this one for lost"});
-    }
 }
 
 // Tells the log what was exchanged with each gone entry, so that its units can return.
--- a/src/engine/task_part.cpp
+++ b/src/engine/task_part.cpp
@@ -507,7 +507,7 @@
     auto &shared = parts_.shared;
     lease.isCalling = true;
     const auto attempt = ++shared.lastAttempt;
-    calls_[attempt] = {key, call, lease.worker, shared.now.mono};
+    calls_[attempt] = {key, call, lease.worker};
     shared.emit(ConnectTarget{attempt, lease.worker, shared.targets.find(lease.worker)->address});
 }
 
@@ -578,7 +578,7 @@
     lease->second.isCalling = false;
     lease->second.nextCallAt = shared.now.mono + shared.settings.tasks.renewMs;
     if (end.kind == AttemptEndKind::Answered) {
-        onAnswer(call.leaseKey, call.call, end, shared.now.mono - call.startedAt);
+        onAnswer(call.leaseKey, call.call, end);
     } else if (call.call == Call::Start && end.kind == AttemptEndKind::NotWritten) {
         shared.targets.noteFailure(call.target, shared.now.mono);
         lease->second.hasStarted = false;
@@ -590,8 +590,7 @@
     return true;
 }
 
-auto TaskPart::onAnswer(const std::string &key, Call call, const AttemptEnd &end, TimeMs /*tookMs*/)
-    -> void
+auto TaskPart::onAnswer(const std::string &key, Call call, const AttemptEnd &end) -> void
 {
     auto      &shared = parts_.shared;
     auto      &lease = leases_.at(key);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -80,9 +80,6 @@
 
     auto append(const AppendRecord &record) -> void;
 
-    // Queries.
-    auto listedInstances() const -> std::size_t { return listed_; }
-
 private:
     auto readLog() -> void;
     auto onPage(TimeMs asOf, absl::StatusOr<LogPage> page) -> void;
@@ -96,7 +93,6 @@
     std::unique_ptr<InstanceList>      list_;
     std::map<std::string, std::string> appends_; // Not yet confirmed, by record id.
     std::set<std::string>              onTheWay_;
-    std::size_t                        listed_ = 0;
     bool                               isReading_ = false;
     bool                               isListing_ = false;
     std::unique_ptr<Timer>             logTimer_;
--- a/src/entry/platform_task.cpp
+++ b/src/entry/platform_task.cpp
@@ -95,7 +95,6 @@
             instances.push_back({entry.name, entry.address, entry.state == InstanceState::Leaving});
         }
     }
-    listed_ = instances.size();
     decisions_.handle([&](Engine &engine, Now now) { engine.onList(now, instances, gone); });
 }
 
