--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/cli.h"
 #include "entry/entry.h"
+#include "node/node.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -42,6 +43,23 @@
     return runEntry(parseEntrySettings(*text).settings);
 }
 
+// Runs a scheduling node. Names every error of its settings.
+auto runScheduler(const std::string &file) -> int
+{
+    const auto text = readFile(file);
+    const auto parsed = text.ok() ? parseNodeSettings(*text) : ParsedNodeSettings{};
+    if (!text.ok()) {
+        std::cerr << text.status().message() << '\n';
+    }
+    for (const auto &error : parsed.errors) {
+        std::cerr << file << ": " << error.path << ": " << error.reason << '\n';
+    }
+    if (!text.ok() || !parsed.errors.empty()) {
+        return kExitBadInput;
+    }
+    return runNode(parsed.settings);
+}
+
 // Adds the options that all clients take.
 auto addClientOptions(CLI::App *app, Arguments &arguments) -> void
 {
@@ -181,6 +199,9 @@
     auto *entry = app.add_subcommand("entry", "run an entry instance");
     entry->add_option("--settings", arguments.settings, "settings file (JSON)")->required();
     entry->callback([&] { arguments.exitCode = runDaemon(arguments.settings); });
+    auto *node = app.add_subcommand("node", "run a scheduling node");
+    node->add_option("--settings", arguments.settings, "settings file (JSON)")->required();
+    node->callback([&] { arguments.exitCode = runScheduler(arguments.settings); });
     addRules(app, arguments);
     addZone(app, arguments);
     addKey(app, arguments);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,6 +12,7 @@
 
 #include "engine/engine.h"
 #include "http/http.h"
+#include "settings/settings.h"
 
 namespace peridotwalk {
 
@@ -42,12 +43,6 @@
     EngineSettings           engine;
 };
 
-// A place in the settings that can't be taken.
-struct SettingsError {
-    std::string path; // "/listen/callers"
-    std::string reason;
-};
-
 struct ParsedSettings {
     EntrySettings              settings;
     std::vector<SettingsError> errors; // All of them.
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -3,170 +3,13 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <set>
-
 namespace peridotwalk {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr TimeMs      kMaxMs = 86'400'000;
-constexpr std::size_t kMaxSettingsBytes = 1'048'576;
-constexpr std::size_t kMaxNameBytes = 64;
-
-// Reads one JSON object. Notes every error with its path, and keys that nobody asked for.
-class ObjectReader
-{
-public:
-    ObjectReader(const Json &parent, std::string path, std::vector<SettingsError> &errors)
-        : object_(parent.is_object() ? parent : Json::object()), path_(std::move(path)),
-          errors_(errors)
-    {
-        if (!parent.is_object()) {
-            fail("", "takes an object");
-        }
-    }
-
-    ~ObjectReader()
-    {
-        for (const auto &[key, value] : object_.items()) {
-            if (!used_.contains(key)) {
-                fail(key, "is unknown");
-            }
-        }
-    }
-
-    ObjectReader(const ObjectReader &) = delete;
-    auto operator=(const ObjectReader &) -> ObjectReader & = delete;
-
-    auto name(const std::string &key, std::string &target) -> void
-    {
-        const auto *value = required(key);
-        if (value == nullptr) {
-            return;
-        }
-        if (!value->is_string() || value->get<std::string>().empty()
-            || value->get<std::string>().size() > kMaxNameBytes
-            || value->get<std::string>().find_first_of("#/ \t\n") != std::string::npos) {
-            fail(key, "takes a name without blanks, '#' or '/'");
-            return;
-        }
-        value->get_to(target);
-    }
-
-    auto address(const std::string &key, std::string &target) -> void
-    {
-        const auto *value = required(key);
-        if (value != nullptr) {
-            readAddress(key, *value, target);
-        }
-    }
-
-    auto addresses(const std::string &key, std::vector<std::string> &target) -> void
-    {
-        const auto *value = optional(key);
-        if (value == nullptr) {
-            return;
-        }
-        if (!value->is_array()) {
-            fail(key, "takes an array of addresses");
-            return;
-        }
-        for (std::size_t index = 0; index < value->size(); ++index) {
-            auto text = std::string();
-            readAddress(fmt::format("{}/{}", key, index), (*value)[index], text);
-            target.push_back(std::move(text));
-        }
-    }
-
-    template <typename Number>
-    auto integer(const std::string &key, Number &target, std::int64_t low, std::int64_t high)
-        -> void
-    {
-        const auto *value = optional(key);
-        if (value == nullptr) {
-            return;
-        }
-        const auto isInRange = value->is_number_integer() && value->get<std::int64_t>() >= low
-            && value->get<std::int64_t>() <= high;
-        if (!isInRange) {
-            fail(key, fmt::format("takes a whole number from {} to {}", low, high));
-            return;
-        }
-        target = static_cast<Number>(value->get<std::int64_t>());
-    }
-
-    auto fraction(const std::string &key, double &target) -> void
-    {
-        const auto *value = optional(key);
-        if (value == nullptr) {
-            return;
-        }
-        if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > 1) {
-            fail(key, "takes a number from 0 to 1");
-            return;
-        }
-        value->get_to(target);
-    }
-
-    auto text(const std::string &key, std::string &target) -> void
-    {
-        const auto *value = optional(key);
-        if (value != nullptr && value->is_string()) {
-            value->get_to(target);
-        } else if (value != nullptr) {
-            fail(key, "takes a string");
-        }
-    }
-
-    auto child(const std::string &key, bool isRequired) -> Json
-    {
-        const auto *value = isRequired ? required(key) : optional(key);
-        return value == nullptr ? Json::object() : *value;
-    }
-
-    auto pathOf(const std::string &key) const -> std::string
-    {
-        return fmt::format("{}/{}", path_, key);
-    }
-
-    auto fail(const std::string &key, std::string reason) -> void
-    {
-        errors_.push_back({key.empty() ? path_ : pathOf(key), std::move(reason)});
-    }
-
-private:
-    auto optional(const std::string &key) -> const Json *
-    {
-        used_.insert(key);
-        const auto found = object_.find(key);
-        return found == object_.end() ? nullptr : &*found;
-    }
-
-    auto required(const std::string &key) -> const Json *
-    {
-        const auto *value = optional(key);
-        if (value == nullptr) {
-            fail(key, "is missing");
-        }
-        return value;
-    }
-
-    auto readAddress(const std::string &key, const Json &value, std::string &target) -> void
-    {
-        if (!value.is_string() || !parseEndpoint(value.get<std::string>()).ok()) {
-            fail(key, "takes an IPv4 number, a colon and a port, as in \"127.0.0.1:8100\"");
-            return;
-        }
-        value.get_to(target);
-    }
-
-    Json                        object_;
-    std::string                 path_;
-    std::vector<SettingsError> &errors_;
-    std::set<std::string>       used_;
-};
+constexpr TimeMs kMaxMs = 86'400'000;
 
 auto readListen(ObjectReader &root, EntrySettings &settings, std::vector<SettingsError> &errors)
     -> void
@@ -300,15 +143,7 @@
 auto parseEntrySettings(std::string_view json) -> ParsedSettings
 {
     auto parsed = ParsedSettings{};
-    if (json.size() > kMaxSettingsBytes) {
-        parsed.errors.push_back({"", "the settings are too large"});
-        return parsed;
-    }
-    try {
-        readRoot(Json::parse(json), parsed);
-    } catch (const Json::exception &error) {
-        parsed.errors.push_back({"", error.what()});
-    }
+    readSettingsText(json, parsed.errors, [&](const Json &root) { readRoot(root, parsed); });
     auto &engine = parsed.settings.engine;
     engine.zone = parsed.settings.zone;
     engine.rack = parsed.settings.rack;
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -228,7 +228,12 @@
         return;
     }
     connections.push_back(std::make_unique<PooledConnection>(*this, address, *endpoint));
-    auto      *connection = connections.back().get();
+    auto *connection = connections.back().get();
+    if (!limits_.isProbed) {
+        connection->setBusy(true);
+        loop_.post([connection, ready = std::move(ready)] { ready(connection); });
+        return;
+    }
     const auto probe = HttpCall{"GET", "/health", {}, {}, limits_.connectTimeoutMs};
     connection->call(probe, [this, connection, ready = std::move(ready)](const HttpResult &result) {
         if (!result.isWhole || !connection->isUsable()) {
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace peridotwalk {
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr TimeMs kMsPerSecond = 1'000;
+constexpr TimeMs kNsPerMs = 1'000'000;
 
 auto toTimeval(TimeMs ms) -> timeval
 {
@@ -85,6 +87,13 @@
     return clockMs<std::chrono::steady_clock>();
 }
 
+auto bootMs() -> TimeMs
+{
+    auto time = timespec{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time.tv_sec * kMsPerSecond + time.tv_nsec / kNsPerMs;
+}
+
 auto wallMs() -> std::int64_t
 {
     return clockMs<std::chrono::system_clock>();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -65,6 +65,9 @@
 // Returns the monotonic clock in ms.
 auto monotonicMs() -> TimeMs;
 
+// Returns a steady clock in ms that also counts the time in which the machine was suspended.
+auto bootMs() -> TimeMs;
+
 // Returns the wall clock in ms since 1970.
 auto wallMs() -> std::int64_t;
 
@@ -163,6 +166,7 @@
 };
 
 struct PoolLimits {
+    bool         isProbed = true; // Prove each new connection by a request for "/health".
     std::size_t  maxPerAddress = 64;
     TimeMs       connectTimeoutMs = 1'000;
     TimeMs       idleMs = 15'000;       // An idle connection is closed after that.
@@ -172,8 +176,8 @@
 
 class PooledConnection;
 
-// Keep-alive connections by address. A connection is made and proved by a request for "/health"
-// before it is handed out, so that a call on it leaves at once.
+// Keep-alive connections by address. Unless limits say otherwise, a connection is made and proved by
+// a request for "/health" before it is handed out, so that a call on it leaves at once.
 class ConnectionPool
 {
 public:
--- /dev/null
+++ b/src/journal/journal.cpp
@@ -0,0 +1,215 @@
+#include "journal/journal.h"
+
+#include "base/wire.h"
+
+namespace peridotwalk {
+
+// A task that has left its initial state.
+struct TaskRow {
+    std::int64_t occurrence = 0;
+    std::int64_t step = 0;
+    std::int64_t index = 0;
+    std::int64_t run = 0;
+    std::int64_t endedRun = 0;
+    std::int64_t failures = 0;
+    bool         isDone = false;
+    std::string  checkpoint;
+    std::string  worker;
+};
+
+struct JobRow {
+    JobSpec      spec;
+    std::int64_t acceptedAtMs = 0;
+};
+
+struct ProgressRow {
+    std::int64_t              state = 0;
+    std::int64_t              doneOccurrences = 0;
+    std::vector<std::int64_t> done; // Occurrences whose tasks are all done; they have no rows.
+    std::vector<TaskRow>      tasks;
+};
+
+} // namespace peridotwalk
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+    PERIDOTWALK_WIRE(ResourceSet, v.cpu, v.memoryMb, v.accelerators)
+    PERIDOTWALK_WIRE(StepSpec, v.count, v.need, v.estimateMs, v.after, v.requiredLabel,
+                     v.preferredRack, v.image, v.maxPerWorker, v.maxUnavailable, v.latencyTargetMs,
+                     v.isGang, v.isSameRack, v.isSpeculative, v.isLongRunning, v.isFiller,
+                     v.isCheckpointing)
+    PERIDOTWALK_WIRE(JobSpec, v.id, v.queue, v.pool, v.tenant, v.payload, v.steps, v.occurrences,
+                     v.startAtMs, v.intervalMs)
+    PERIDOTWALK_WIRE(TaskRow, v.occurrence, v.step, v.index, v.run, v.endedRun, v.failures,
+                     v.isDone, v.checkpoint, v.worker)
+    PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
+    PERIDOTWALK_WIRE(ProgressRow, v.state, v.doneOccurrences, v.done, v.tasks)
+
+    } // namespace adaptor
+} // MSGPACK_API_VERSION_NAMESPACE
+} // namespace msgpack
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr char kSpecPrefix = 'j';
+constexpr char kProgressPrefix = 'p';
+
+template <typename Value>
+auto packValue(const Value &value) -> std::string
+{
+    auto buffer = msgpack::sbuffer();
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+template <typename Value>
+auto unpackValue(std::string_view step, std::string_view name, std::string_view bytes)
+    -> absl::StatusOr<Value>
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
+    } catch (const std::exception &error) {
+        return makeError(absl::StatusCode::kDataLoss, step, name, error.what());
+    }
+}
+
+auto isUntouched(const JobTask &task) -> bool
+{
+    return task.run == 0 && task.endedRun == 0 && !task.isDone;
+}
+
+auto appendRows(const Occurrence &occurrence, std::int64_t number, std::vector<TaskRow> &rows)
+    -> void
+{
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        const auto &tasks = occurrence.steps[step];
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            const auto &task = tasks[index];
+            if (!isUntouched(task)) {
+                rows.push_back({number, static_cast<std::int64_t>(step),
+                                static_cast<std::int64_t>(index), task.run, task.endedRun,
+                                task.failures, task.isDone, task.checkpoint, task.worker});
+            }
+        }
+    }
+}
+
+auto isIdle(const Occurrence &occurrence) -> bool
+{
+    for (const auto &tasks : occurrence.steps) {
+        for (const auto &task : tasks) {
+            if (task.isLive()) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+auto applyProgress(Job &job, const ProgressRow &row) -> void
+{
+    job.state = static_cast<JobState>(row.state);
+    job.doneOccurrences = row.doneOccurrences;
+    for (const auto number : row.done) {
+        auto &occurrence = job.occurrences[number] = makeOccurrence(job.spec);
+        for (auto &tasks : occurrence.steps) {
+            for (auto &task : tasks) {
+                task.isDone = true;
+            }
+        }
+    }
+    for (const auto &entry : row.tasks) {
+        auto [found, isNew] = job.occurrences.try_emplace(entry.occurrence);
+        if (isNew) {
+            found->second = makeOccurrence(job.spec);
+        }
+        auto *task = findTask(job, {job.spec.id, entry.occurrence, entry.step, entry.index});
+        if (task == nullptr) {
+            continue;
+        }
+        task->run = entry.run;
+        task->endedRun = entry.endedRun;
+        task->failures = entry.failures;
+        task->isDone = entry.isDone;
+        task->checkpoint = entry.checkpoint;
+        task->worker = entry.worker;
+        task->phase = entry.worker.empty() ? RunPhase::None : RunPhase::Unknown;
+    }
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Records
+//-----------------------------------------------------------------------------
+
+auto encodeJob(const Job &job) -> KeyedRecord
+{
+    return {kSpecPrefix + job.spec.id, packValue(JobRow{job.spec, job.acceptedAtMs})};
+}
+
+auto encodeProgress(const Job &job) -> KeyedRecord
+{
+    auto row = ProgressRow{};
+    row.state = static_cast<std::int64_t>(job.state);
+    row.doneOccurrences = job.doneOccurrences;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        if (isOccurrenceDone(occurrence) && isIdle(occurrence)) {
+            row.done.push_back(number);
+        } else {
+            appendRows(occurrence, number, row.tasks);
+        }
+    }
+    return {kProgressPrefix + job.spec.id, packValue(row)};
+}
+
+auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs
+{
+    auto restored = RestoredJobs{};
+    for (const auto &record : records) {
+        if (record.key.empty() || record.key[0] != kSpecPrefix || record.value.empty()) {
+            continue;
+        }
+        auto row = unpackValue<JobRow>("journal.restore", record.key, record.value);
+        if (!row.ok()) {
+            restored.errors.push_back(row.status());
+            continue;
+        }
+        auto &job = restored.jobs[row->spec.id];
+        job.spec = std::move(row->spec);
+        job.acceptedAtMs = row->acceptedAtMs;
+    }
+    for (const auto &record : records) {
+        if (record.key.empty() || record.key[0] != kProgressPrefix || record.value.empty()) {
+            continue;
+        }
+        const auto found = restored.jobs.find(std::string_view(record.key).substr(1));
+        auto       row = unpackValue<ProgressRow>("journal.restore", record.key, record.value);
+        if (!row.ok() || found == restored.jobs.end()) {
+            restored.errors.push_back(row.ok() ? makeError(absl::StatusCode::kDataLoss,
+                                                           "journal.restore", record.key,
+                                                           "progress of a job without a record")
+                                               : row.status());
+            continue;
+        }
+        applyProgress(found->second, *row);
+    }
+    return restored;
+}
+
+auto packJobSpec(const JobSpec &spec) -> std::string
+{
+    return packValue(spec);
+}
+
+auto unpackJobSpec(std::string_view bytes) -> absl::StatusOr<JobSpec>
+{
+    return unpackValue<JobSpec>("peer.job", "peer", bytes);
+}
+
+} // namespace peridotwalk
--- a/src/platform/platform.cpp
+++ b/src/logservice/logservice.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/platform/platform.h
+++ b/src/logservice/logservice.h
@@ -1,4 +1,4 @@
-// The platform's services: an append-only log and a list of instances. Stand-ins take their place in
+// The log and the instance list that the product expects of its surroundings. Stand-ins take their place in
 // tests; docs/PROTOCOL.md gives the HTTP shapes.
 //
 // Index of this file
--- /dev/null
+++ b/src/node/directory_task.cpp
@@ -0,0 +1,121 @@
+#include "node/node_internal.h"
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kOperatorsWaitMs = 10'000; // Rules change rarely; a reading waits for them.
+constexpr TimeMs kOperatorsRetryMs = 200;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Directory task
+//-----------------------------------------------------------------------------
+
+DirectoryTask::DirectoryTask(EventLoop &loop, Directory &directory, const NodeSettings &settings)
+    : loop_(loop), directory_(directory), settings_(settings)
+{
+}
+
+auto DirectoryTask::start() -> void
+{
+    readOperators();
+    readWorkers();
+}
+
+auto DirectoryTask::readOperators() -> void
+{
+    directory_.read(DirectorySource::Operators, operatorsAt_, kOperatorsWaitMs,
+                    [this](const absl::StatusOr<DirectoryPage> &page) {
+                        if (!page.ok()) {
+                            if (!std::exchange(areOperatorsLost_, true)) {
+                                logEvent(LogLevel::Warning, "directory.lost",
+                                         {{"source", "operators"},
+                                          {"error", page.status().ToString()},
+                                          {"version", view_.catalog.version()}});
+                            }
+                            loop_.post([this] { readOperators(); }, kOperatorsRetryMs);
+                            return;
+                        }
+                        if (std::exchange(areOperatorsLost_, false)) {
+                            logEvent(LogLevel::Info, "directory.regained",
+                                     {{"source", "operators"}, {"offset", page->next}});
+                        }
+                        operatorsAt_ = page->next;
+                        apply(DirectorySource::Operators, *page);
+                        readOperators();
+                    });
+}
+
+auto DirectoryTask::readWorkers() -> void
+{
+    directory_.read(DirectorySource::Workers, workersAt_, 0,
+                    [this](const absl::StatusOr<DirectoryPage> &page) {
+                        if (!page.ok()) {
+                            if (!std::exchange(areWorkersLost_, true)) {
+                                logEvent(LogLevel::Warning, "directory.lost",
+                                         {{"source", "workers"},
+                                          {"error", page.status().ToString()}});
+                            }
+                        } else {
+                            if (std::exchange(areWorkersLost_, false)) {
+                                logEvent(LogLevel::Info, "directory.regained",
+                                         {{"source", "workers"}, {"offset", page->next}});
+                            }
+                            workersAt_ = page->next;
+                            hasWorkers_ = true;
+                            apply(DirectorySource::Workers, *page);
+                        }
+                        loop_.post([this] { readWorkers(); }, settings_.workersPollMs);
+                    });
+}
+
+auto DirectoryTask::apply(DirectorySource source, const DirectoryPage &page) -> void
+{
+    if (page.isWhole && source == DirectorySource::Workers) {
+        view_.workers.clear();
+    }
+    if (page.isWhole && source == DirectorySource::Operators) {
+        view_.evacuatedZones.clear();
+        view_.waves.clear();
+    }
+    for (const auto &change : page.changes) {
+        if (const auto *worker = std::get_if<WorkerChanged>(&change)) {
+            if (worker->report) {
+                view_.workers[worker->id] = *worker->report;
+            } else {
+                view_.workers.erase(worker->id);
+            }
+        } else if (const auto *rules = std::get_if<CatalogChanged>(&change)) {
+            if (rules->rules.version > view_.catalog.version()) {
+                view_.catalog = Catalog(rules->rules);
+                logEvent(LogLevel::Info, "catalog.changed",
+                         {{"version", view_.catalog.version()},
+                          {"queues", rules->rules.queues.size()},
+                          {"tenants", rules->rules.tenants.size()}});
+            }
+        } else if (const auto *zone = std::get_if<ZoneEvacuation>(&change)) {
+            logEvent(LogLevel::Info, "zone.evacuation", {{"zone", zone->zone}, {"out", zone->isOut}});
+            if (zone->isOut) {
+                view_.evacuatedZones.insert(zone->zone);
+            } else {
+                view_.evacuatedZones.erase(zone->zone);
+            }
+        } else if (const auto *wave = std::get_if<WaveChanged>(&change)) {
+            logEvent(LogLevel::Info, "wave.changed",
+                     {{"wave", wave->name},
+                      {"machines", wave->order ? wave->order->machines.size() : 0}});
+            if (wave->order) {
+                view_.waves[wave->name] = *wave->order;
+            } else {
+                view_.waves.erase(wave->name);
+            }
+        }
+    }
+    if (!page.changes.empty()) {
+        changed.emit();
+    }
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,151 @@
+#include "node/node_internal.h"
+
+#include <event2/event.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <random>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr int    kExitStopped = 0;
+constexpr int    kExitNoAddress = 1;
+constexpr TimeMs kStopCheckMs = 50;
+constexpr TimeMs kLogFlushMs = 200;
+constexpr TimeMs kPeerIdleMs = 30'000;
+
+using Signal = std::unique_ptr<event, decltype(&event_free)>;
+
+// Another life has another name: it inherits nothing.
+auto makeMember(const NodeSettings &settings) -> std::string
+{
+    auto device = std::random_device();
+    return fmt::format("{}@{}#{:08x}", settings.name, settings.peersAddress, device());
+}
+
+auto poolLimits() -> PoolLimits
+{
+    auto limits = PoolLimits{};
+    limits.isProbed = false; // Each question to a worker is priced, and all calls can be repeated.
+    limits.idleMs = kPeerIdleMs;
+    return limits;
+}
+
+class Node
+{
+public:
+    explicit Node(NodeSettings settings)
+        : settings_(std::move(settings)), connections_(loop_, poolLimits()),
+          journal_(makeJournalStore(connections_, settings_.platform)),
+          group_(makeOwnershipGroup(connections_, settings_.platform)),
+          directoryService_(makeDirectory(connections_, settings_.platform)),
+          workers_(makeWorkerService(connections_, settings_.platform)),
+          directory_(loop_, *directoryService_, settings_),
+          ownership_(loop_, *group_, settings_, makeMember(settings_)),
+          pools_(loop_, {*journal_, *workers_}, settings_, directory_, ownership_),
+          router_(loop_, connections_, settings_, pools_, ownership_),
+          peers_(loop_, settings_, pools_),
+          callers_(loop_, settings_, directory_, ownership_, router_)
+    {
+    }
+
+    auto run() -> int
+    {
+        for (const auto &status : {peers_.listen(), callers_.listen()}) {
+            if (!status.ok()) {
+                logEvent(LogLevel::Error, "node.failed", {{"error", status.ToString()}});
+                flushLog();
+                return kExitNoAddress;
+            }
+        }
+        logEvent(LogLevel::Info, "node.started",
+                 {{"member", ownership_.member()}, {"zone", settings_.zone}});
+        const auto flushTimer = Timer(loop_, kLogFlushMs, [] { flushLog(); });
+        const auto terminate = watch(SIGTERM, onStop);
+        const auto interrupt = watch(SIGINT, onStop);
+        const auto hangUp = watch(SIGHUP, onHangUp);
+        directory_.start();
+        ownership_.start();
+        loop_.run();
+        logEvent(LogLevel::Info, "node.stopped", {{"open", callers_.open()}});
+        flushLog();
+        return kExitStopped;
+    }
+
+private:
+    auto watch(int number, event_callback_fn callback) -> Signal
+    {
+        auto *signal = evsignal_new(loop_.base(), number, callback, this);
+        event_add(signal, nullptr);
+        return {signal, event_free};
+    }
+
+    static auto onStop(evutil_socket_t /*number*/, short /*events*/, void *self) -> void
+    {
+        static_cast<Node *>(self)->beginStop();
+    }
+
+    static auto onHangUp(evutil_socket_t /*number*/, short /*events*/, void * /*self*/) -> void
+    {
+        logEvent(LogLevel::Info, "settings.reload", {{"changed", false}});
+    }
+
+    // Hands the pools over once their appends are through, and serves callers on by way of the new
+    // owners until they have moved to other nodes.
+    auto beginStop() -> void
+    {
+        if (stopTimer_ != nullptr) {
+            return;
+        }
+        logEvent(LogLevel::Info, "node.stopping", {{"open", callers_.open()}});
+        stopAt_ = bootMs() + settings_.stopLingerMs;
+        callers_.beginStop();
+        stopTimer_ = std::make_unique<Timer>(loop_, kStopCheckMs, [this] { checkStop(); });
+    }
+
+    auto checkStop() -> void
+    {
+        if (!hasLeft_ && (pools_.isSettled() || bootMs() > stopAt_ - settings_.stopLingerMs / 2)) {
+            hasLeft_ = true;
+            ownership_.leave([] {});
+        }
+        if (bootMs() > stopAt_ && callers_.open() == 0) {
+            loop_.stop();
+        }
+    }
+
+    NodeSettings                    settings_;
+    EventLoop                       loop_;
+    ConnectionPool                  connections_;
+    std::unique_ptr<JournalStore>   journal_;
+    std::unique_ptr<OwnershipGroup> group_;
+    std::unique_ptr<Directory>      directoryService_;
+    std::unique_ptr<WorkerService>  workers_;
+    DirectoryTask                   directory_;
+    OwnershipTask                   ownership_;
+    PoolsTask                       pools_;
+    RouterTask                      router_;
+    PeerServerTask                  peers_;
+    JobCallerTask                   callers_;
+    std::unique_ptr<Timer>          stopTimer_;
+    TimeMs                          stopAt_ = 0;
+    bool                            hasLeft_ = false;
+};
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Node
+//-----------------------------------------------------------------------------
+
+auto runNode(const NodeSettings &settings) -> int
+{
+    configureLog({settings.name, 1, settings.logLevel});
+    std::signal(SIGPIPE, SIG_IGN);
+    auto node = Node(settings);
+    return node.run();
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,65 @@
+// The scheduling node: takes jobs from callers, and schedules the pools that it owns.
+//
+//   auto parsed = parseNodeSettings(text);
+//   if (!parsed.errors.empty()) { ... each names a JSON path ... }
+//   return runNode(parsed.settings, file);
+//
+// Index of this file
+// [SECTION] Settings
+// [SECTION] Node
+
+#pragma once
+
+#include "log/log.h"
+#include "ownership/ownership.h"
+#include "platform/platform.h"
+#include "pool/pool.h"
+#include "settings/settings.h"
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+// Everything a node knows before it starts. docs/OPERATORS.md lists the JSON names.
+struct NodeSettings {
+    std::string       name;           // Required.
+    std::string       zone;           // Required.
+    std::string       callersAddress; // Where callers connect. Required.
+    std::string       readyAddress;   // Where the load balancer asks. Required.
+    std::string       peersAddress;   // Where other nodes connect. Required.
+    std::string       metricsAddress; // Empty: no metrics.
+    PlatformAddresses platform;
+    OwnershipSettings ownership;
+    PoolSettings      pool;
+    TimeMs            tickMs = 20;           // Retries, batches and due occurrences.
+    TimeMs            workersPollMs = 400;   // Reading of workers' reports.
+    TimeMs            callBudgetMs = 3'000;  // Of callers that name none.
+    TimeMs            callMarginMs = 150;    // An answer leaves that long before the budget ends.
+    TimeMs            routeRetryMs = 100;    // Between two tries to reach a pool's owner.
+    TimeMs            ownerCallMs = 1'000;   // A try that takes longer has an unknown outcome.
+    TimeMs            stopLingerMs = 3'500;  // After a planned stop callers are served on that long.
+    TimeMs            retryAfterMs = 1'000;  // Told to callers that are refused.
+    TimeMs            holderGapMs = 3'000;   // Between two holders of a machine.
+    std::int64_t      maxHeaderBytes = 16'384;
+    std::int64_t      maxBodyBytes = 262'144;
+    LogLevel          logLevel = LogLevel::Info;
+};
+
+struct ParsedNodeSettings {
+    NodeSettings               settings;
+    std::vector<SettingsError> errors; // All of them.
+};
+
+auto parseNodeSettings(std::string_view json) -> ParsedNodeSettings;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Node
+//-----------------------------------------------------------------------------
+
+// Runs until SIGTERM or SIGINT. Returns the exit code: 0 after a planned stop, 1 if an address can't be
+// bound.
+auto runNode(const NodeSettings &settings) -> int;
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/node_internal.h
@@ -0,0 +1,313 @@
+// Tasks of a node. Each owns its state; they talk by signals and calls on the event loop. Only for the
+// sources of this library.
+//
+// Index of this file
+// [SECTION] Clocks
+// [SECTION] Messages between nodes
+// [SECTION] Directory task
+// [SECTION] Ownership task
+// [SECTION] Pool task
+// [SECTION] Router task
+// [SECTION] Peer task
+// [SECTION] Caller task
+
+#pragma once
+
+#include "node/node.h"
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Clocks
+//-----------------------------------------------------------------------------
+
+inline auto readMoment() -> Moment
+{
+    return {bootMs(), wallMs()};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages between nodes
+//-----------------------------------------------------------------------------
+
+enum class PoolVerb { Submit, Cancel, Query, CountPending };
+
+// What a node asks the owner of a pool.
+struct PoolCall {
+    PoolVerb    verb = PoolVerb::Query;
+    std::string pool;
+    std::string job;   // Id. Empty for CountPending.
+    std::string queue; // For CountPending.
+    JobSpec     spec;  // For Submit.
+};
+
+enum class PoolStatus {
+    Ok,
+    Missing, // The owner knows no such job.
+    Refused, // Not taken, and never will be under this call.
+    NotOwner, // Nothing was done. Another node owns the pool, or nobody yet.
+    Unknown,  // It may have been done.
+};
+
+struct PoolAnswer {
+    PoolStatus   status = PoolStatus::Unknown;
+    JobState     state = JobState::Queued; // For Query.
+    std::int64_t count = 0;                // For CountPending.
+    std::string  reason = {};
+    TimeMs       retryAfterMs = 0;
+};
+using PoolAnswerSlot = std::function<void(const PoolAnswer &)>;
+
+auto packCall(const PoolCall &call) -> std::string;
+auto unpackCall(std::string_view bytes) -> absl::StatusOr<PoolCall>;
+auto packAnswer(const PoolAnswer &answer) -> std::string;
+auto unpackAnswer(std::string_view bytes) -> absl::StatusOr<PoolAnswer>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Directory task
+//-----------------------------------------------------------------------------
+
+// Follows operators' rules and workers' reports.
+class DirectoryTask
+{
+public:
+    DirectoryTask(EventLoop &loop, Directory &directory, const NodeSettings &settings);
+
+    auto start() -> void;
+    auto view() const -> const FleetView & { return view_; }
+    auto hasCatalog() const -> bool { return view_.catalog.version() > 0; }
+    auto hasWorkers() const -> bool { return hasWorkers_; }
+
+    sigc::signal<void()> changed;
+
+private:
+    auto readOperators() -> void;
+    auto readWorkers() -> void;
+    auto apply(DirectorySource source, const DirectoryPage &page) -> void;
+
+    EventLoop          &loop_;
+    Directory          &directory_;
+    const NodeSettings &settings_;
+    FleetView           view_;
+    Offset              operatorsAt_ = -1;
+    Offset              workersAt_ = -1;
+    bool                hasWorkers_ = false;
+    bool                areOperatorsLost_ = false;
+    bool                areWorkersLost_ = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ownership task
+//-----------------------------------------------------------------------------
+
+// Renews this node's membership, and knows who owns each partition.
+class OwnershipTask
+{
+public:
+    OwnershipTask(EventLoop &loop, OwnershipGroup &group, const NodeSettings &settings,
+                  std::string member);
+
+    auto start() -> void;
+    auto leave(std::function<void()> done) -> void; // Hands everything over.
+    auto refreshOwners() -> void;                   // At most one reading at a time.
+
+    auto ownership() const -> const Ownership & { return ownership_; }
+    auto memberOf(std::string_view pool) const -> std::string; // Empty: not known.
+    auto member() const -> const std::string & { return member_; }
+    auto lastRenewedAt() const -> TimeMs { return lastRenewedAt_; }
+
+    sigc::signal<void(const OwnershipChange &)> changed;
+    sigc::signal<void(TimeMs)>                  renewed; // The end of the term.
+
+private:
+    auto renew() -> void;
+    auto onRenewed(TimeMs sentAt, const absl::StatusOr<Membership> &membership) -> void;
+
+    EventLoop                          &loop_;
+    OwnershipGroup                     &group_;
+    const NodeSettings                 &settings_;
+    std::string                         member_;
+    Ownership                           ownership_;
+    std::map<std::int64_t, std::string> owners_;
+    TimeMs                              lastRenewedAt_ = 0;
+    TimeMs                              ownersReadAt_ = 0;
+    bool                                isReadingOwners_ = false;
+    bool                                isLeaving_ = false;
+    bool                                isStoreLost_ = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pool task
+//-----------------------------------------------------------------------------
+
+struct PoolServices {
+    JournalStore  &journal;
+    WorkerService &workers;
+};
+
+// Takes one pool over, and connects its scheduler to the store and the workers.
+class PoolTask
+{
+public:
+    PoolTask(EventLoop &loop, PoolServices services, const NodeSettings &settings,
+             const FleetView &view, PoolIdentity identity, std::int64_t partition);
+    ~PoolTask();
+    PoolTask(const PoolTask &) = delete;
+    auto operator=(const PoolTask &) -> PoolTask & = delete;
+
+    auto setTerm(TimeMs untilMs) -> void;
+    auto onViewChanged() -> void;
+    auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto tick() -> void;
+    auto setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void;
+
+    auto isReady() const -> bool { return scheduler_ != nullptr; }
+    auto isFenced() const -> bool { return isFenced_ || (scheduler_ && scheduler_->isFenced()); }
+    auto scheduler() -> PoolScheduler * { return scheduler_.get(); }
+    auto identity() const -> const PoolIdentity & { return identity_; }
+
+private:
+    auto fence() -> void;
+    auto readJournal() -> void;
+    auto onJournal(const std::vector<KeyedRecord> &records) -> void;
+    auto run() -> void; // Carries out what the scheduler decided.
+    auto perform(AppendJournal &action) -> void;
+    auto perform(AnswerCaller &action) -> void;
+    auto perform(SendStart &action) -> void;
+    auto perform(SendStop &action) -> void;
+    auto perform(SendPace &action) -> void;
+    auto perform(SendHold &action) -> void;
+    auto perform(NoteRun &action) -> void;
+
+    EventLoop                             &loop_;
+    PoolServices                           services_;
+    const NodeSettings                    &settings_;
+    const FleetView                       &view_;
+    PoolIdentity                           identity_;
+    std::int64_t                           partition_;
+    TimeMs                                 termUntil_ = 0;
+    TimeMs                                 beganAt_ = 0;
+    bool                                   isFenced_ = false;
+    std::unique_ptr<PoolScheduler>         scheduler_; // Nothing until the journal was read.
+    std::int64_t                           lastHandle_ = 0;
+    std::map<std::int64_t, PoolAnswerSlot> callers_;
+    std::map<std::string, ResourceSet>       allowances_;
+    bool                                   isRunning_ = false;
+    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true); // False: late answers go nowhere.
+};
+
+// The pools that this node owns.
+class PoolsTask
+{
+public:
+    PoolsTask(EventLoop &loop, PoolServices services, const NodeSettings &settings,
+              DirectoryTask &directory, OwnershipTask &ownership);
+
+    auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto pools() -> std::map<std::string, std::unique_ptr<PoolTask>> & { return pools_; }
+    auto isSettled() const -> bool;
+
+private:
+    auto refresh() -> void; // Makes and ends tasks for what is owned now.
+    auto tick() -> void;
+
+    EventLoop                                       &loop_;
+    PoolServices                                     services_;
+    const NodeSettings                              &settings_;
+    DirectoryTask                                   &directory_;
+    OwnershipTask                                   &ownership_;
+    std::map<std::string, std::unique_ptr<PoolTask>> pools_;
+    std::unique_ptr<Timer>                           timer_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Router task
+//-----------------------------------------------------------------------------
+
+// Brings calls to the owner of a pool, here or on a peer, and tries again while ownership moves.
+class RouterTask
+{
+public:
+    RouterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
+               PoolsTask &pools, OwnershipTask &ownership);
+
+    // Answers once, before the deadline on the steady clock. NotOwner: nothing was done anywhere.
+    auto route(const PoolCall &call, TimeMs deadline, PoolAnswerSlot slot) -> void;
+
+private:
+    struct Trip {
+        PoolCall       call;
+        TimeMs         deadline = 0;
+        PoolAnswerSlot slot;
+        bool           isUnknown = false; // A try may have had an effect.
+        int            tries = 0;
+    };
+
+    auto attempt(const std::shared_ptr<Trip> &trip) -> void;
+    auto onAnswer(const std::shared_ptr<Trip> &trip, const PoolAnswer &answer) -> void;
+
+    EventLoop          &loop_;
+    ConnectionPool     &peers_;
+    const NodeSettings &settings_;
+    PoolsTask          &pools_;
+    OwnershipTask      &ownership_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Peer task
+//-----------------------------------------------------------------------------
+
+// Serves calls of other nodes for pools owned here.
+class PeerServerTask
+{
+public:
+    PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools);
+
+    auto listen() -> absl::Status;
+
+private:
+    auto onRequest(const HttpRequest &request) -> void;
+
+    const NodeSettings &settings_;
+    PoolsTask          &pools_;
+    HttpServer          server_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Caller task
+//-----------------------------------------------------------------------------
+
+// Serves callers, and the load balancer's question whether this node is ready.
+class JobCallerTask
+{
+public:
+    JobCallerTask(EventLoop &loop, const NodeSettings &settings, DirectoryTask &directory,
+                  OwnershipTask &ownership, RouterTask &router);
+
+    auto listen() -> absl::Status;
+    auto beginStop() -> void;
+    auto open() const -> std::size_t { return server_.open(); }
+
+private:
+    auto onRequest(const HttpRequest &request) -> void;
+    auto submit(const HttpRequest &request, const CallerCall &call, const QueueRule &queue,
+                const std::string &id) -> void;
+    auto routeSimple(const HttpRequest &request, const CallerCall &call, const QueueRule &queue,
+                     PoolVerb verb, const std::string &id) -> void;
+    auto refuse(ExchangeId id, int status, std::string_view reason, TimeMs retryAfterMs = 0)
+        -> void;
+    auto answer(ExchangeId id, int status, std::string body) -> void;
+    auto deadlineOf(const CallerCall &call) const -> TimeMs;
+    auto isReady() const -> bool;
+
+    EventLoop          &loop_;
+    const NodeSettings &settings_;
+    DirectoryTask      &directory_;
+    OwnershipTask      &ownership_;
+    RouterTask         &router_;
+    HttpServer          server_;
+    HttpServer          readyServer_;
+    bool                isStopping_ = false;
+};
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/pool_task.cpp
@@ -0,0 +1,339 @@
+#include "node/node_internal.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kTakeoverRetryMs = 100;
+
+auto toStatus(JobVerdict verdict) -> PoolStatus
+{
+    switch (verdict) {
+    case JobVerdict::Accepted:
+    case JobVerdict::Cancelled:
+        return PoolStatus::Ok;
+    case JobVerdict::Missing:
+        return PoolStatus::Missing;
+    case JobVerdict::Refused:
+        break;
+    }
+    return PoolStatus::Refused;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pool task
+//-----------------------------------------------------------------------------
+
+PoolTask::PoolTask(EventLoop &loop, PoolServices services, const NodeSettings &settings,
+                   const FleetView &view, PoolIdentity identity, std::int64_t partition)
+    : loop_(loop), services_(services), settings_(settings), view_(view),
+      identity_(std::move(identity)), partition_(partition), beganAt_(bootMs())
+{
+    fence();
+}
+
+// Calls that wait here may or may not have reached the journal.
+PoolTask::~PoolTask()
+{
+    *isAlive_ = false;
+    for (const auto &[handle, slot] : callers_) {
+        slot({PoolStatus::Unknown, JobState::Queued, 0, "the pool moved to another node", 0});
+    }
+}
+
+// First the store refuses the former owner's appends, then what it wrote is read.
+auto PoolTask::fence() -> void
+{
+    services_.journal.fence({identity_.pool, partition_, identity_.token, 0},
+                            [this, alive = isAlive_](CallOutcome outcome) {
+                                if (!*alive) {
+                                    return;
+                                }
+                                if (outcome == CallOutcome::Done) {
+                                    readJournal();
+                                } else if (outcome == CallOutcome::Fenced) {
+                                    isFenced_ = true;
+                                } else {
+                                    loop_.post(
+                                        [this, alive] {
+                                            if (*alive) {
+                                                fence();
+                                            }
+                                        },
+                                        kTakeoverRetryMs);
+                                }
+                            });
+}
+
+auto PoolTask::readJournal() -> void
+{
+    services_.journal.readNewest(
+        partition_, [this, alive = isAlive_](absl::StatusOr<std::vector<KeyedRecord>> records) {
+            if (!*alive) {
+                return;
+            }
+            if (records.ok()) {
+                onJournal(*records);
+                return;
+            }
+            loop_.post(
+                [this, alive] {
+                    if (*alive) {
+                        readJournal();
+                    }
+                },
+                kTakeoverRetryMs);
+        });
+}
+
+auto PoolTask::onJournal(const std::vector<KeyedRecord> &records) -> void
+{
+    auto restored = restoreJobs(records);
+    for (const auto &error : restored.errors) {
+        logEvent(LogLevel::Error, "journal.bad_record", {{"error", error.ToString()}});
+    }
+    std::erase_if(restored.jobs,
+                  [&](const auto &item) { return item.second.spec.pool != identity_.pool; });
+    logEvent(LogLevel::Info, "pool.owned",
+             {{"pool", identity_.pool},
+              {"token", identity_.token},
+              {"jobs", restored.jobs.size()},
+              {"took_ms", bootMs() - beganAt_}});
+    scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
+    scheduler_->setTerm(termUntil_);
+    for (const auto &[tenant, allowance] : allowances_) {
+        scheduler_->setAllowance(tenant, allowance);
+    }
+    scheduler_->restore(readMoment(), std::move(restored.jobs));
+    tick();
+}
+
+auto PoolTask::setTerm(TimeMs untilMs) -> void
+{
+    termUntil_ = untilMs;
+    if (scheduler_) {
+        scheduler_->setTerm(untilMs);
+    }
+}
+
+auto PoolTask::setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void
+{
+    allowances_[tenant] = allowance;
+    if (scheduler_) {
+        scheduler_->setAllowance(tenant, allowance);
+    }
+}
+
+auto PoolTask::onViewChanged() -> void
+{
+    if (scheduler_) {
+        scheduler_->onViewChanged(readMoment());
+        run();
+    }
+}
+
+auto PoolTask::handle(const PoolCall &call, PoolAnswerSlot slot) -> void
+{
+    if (!scheduler_ || isFenced()) {
+        slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool is being taken over", 0});
+        return;
+    }
+    if (call.verb == PoolVerb::Query) {
+        const auto state = scheduler_->jobState(call.job);
+        slot(state ? PoolAnswer{PoolStatus::Ok, *state}
+                   : PoolAnswer{PoolStatus::Missing});
+        return;
+    }
+    if (call.verb == PoolVerb::CountPending) {
+        slot({PoolStatus::Ok, JobState::Queued, scheduler_->countPending(call.queue)});
+        return;
+    }
+    const auto handle = ++lastHandle_;
+    callers_[handle] = std::move(slot);
+    if (call.verb == PoolVerb::Submit) {
+        scheduler_->submit(readMoment(), handle, call.spec);
+    } else {
+        scheduler_->cancel(readMoment(), handle, call.job);
+    }
+    run();
+}
+
+auto PoolTask::tick() -> void
+{
+    run();
+}
+
+// An answer that is there at once must not start a second round inside this one.
+auto PoolTask::run() -> void
+{
+    if (!scheduler_ || isRunning_) {
+        return;
+    }
+    isRunning_ = true;
+    scheduler_->tick(readMoment());
+    for (auto &action : scheduler_->takeActions()) {
+        std::visit([this](auto &one) { perform(one); }, action);
+    }
+    isRunning_ = false;
+}
+
+auto PoolTask::perform(AppendJournal &action) -> void
+{
+    services_.journal.append({identity_.pool, partition_, identity_.token, action.sequence},
+                             action.records,
+                             [this, alive = isAlive_, sequence = action.sequence](CallOutcome outcome) {
+                                 if (*alive) {
+                                     scheduler_->onAppended(readMoment(), sequence, outcome);
+                                     run();
+                                 }
+                             });
+}
+
+auto PoolTask::perform(AnswerCaller &action) -> void
+{
+    const auto found = callers_.find(action.handle);
+    if (found == callers_.end()) {
+        return;
+    }
+    const auto slot = std::move(found->second);
+    callers_.erase(found);
+    slot({toStatus(action.verdict), JobState::Queued, 0, action.reason, action.retryAfterMs});
+}
+
+auto PoolTask::perform(SendStart &action) -> void
+{
+    services_.workers.start(action.worker, action.order,
+                            [this, alive = isAlive_, action](const OrderReply &reply) {
+                                if (*alive) {
+                                    scheduler_->onStarted(readMoment(), action, reply);
+                                    run();
+                                }
+                            });
+}
+
+auto PoolTask::perform(SendStop &action) -> void
+{
+    services_.workers.stop(action.worker, action.order,
+                           [this, alive = isAlive_, action](const OrderReply &reply) {
+                               if (*alive) {
+                                   scheduler_->onStopped(readMoment(), action, reply);
+                                   run();
+                               }
+                           });
+}
+
+auto PoolTask::perform(SendPace &action) -> void
+{
+    services_.workers.pace(action.worker, action.order, [](const OrderReply & /*reply*/) {
+        // The next listing shows the pace in force, and a later decision corrects it.
+    });
+}
+
+auto PoolTask::perform(SendHold &action) -> void
+{
+    services_.workers.hold(action.worker, action.order,
+                           [this, alive = isAlive_, action](const HoldReply &reply) {
+                               if (*alive) {
+                                   scheduler_->onHeld(readMoment(), action, reply);
+                                   run();
+                               }
+                           });
+}
+
+auto PoolTask::perform(NoteRun &action) -> void
+{
+    logEvent(LogLevel::Info, action.event,
+             {{"job", action.task.job},
+              {"occurrence", action.task.occurrence},
+              {"step", action.task.step},
+              {"index", action.task.index},
+              {"run", action.run},
+              {"worker", action.worker},
+              {"pool", identity_.pool},
+              {"token", identity_.token},
+              {"detail", action.detail}});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pools task
+//-----------------------------------------------------------------------------
+
+PoolsTask::PoolsTask(EventLoop &loop, PoolServices services, const NodeSettings &settings,
+                     DirectoryTask &directory, OwnershipTask &ownership)
+    : loop_(loop), services_(services), settings_(settings), directory_(directory),
+      ownership_(ownership),
+      timer_(std::make_unique<Timer>(loop, settings.tickMs, [this] { tick(); }))
+{
+    directory.changed.connect([this] {
+        refresh();
+        for (auto &[name, pool] : pools_) {
+            pool->onViewChanged();
+        }
+    });
+    ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
+    ownership.renewed.connect([this](TimeMs termUntil) {
+        for (auto &[name, pool] : pools_) {
+            pool->setTerm(termUntil);
+        }
+    });
+}
+
+auto PoolsTask::refresh() -> void
+{
+    const auto &ownership = ownership_.ownership();
+    for (auto item = pools_.begin(); item != pools_.end();) {
+        const auto partition = partitionOf(item->first, settings_.ownership.partitions);
+        const auto token = ownership.tokens().find(partition);
+        if (token == ownership.tokens().end()
+            || token->second != item->second->identity().token) {
+            logEvent(LogLevel::Info, "pool.released",
+                     {{"pool", item->first}, {"token", item->second->identity().token}});
+            item = pools_.erase(item);
+        } else {
+            ++item;
+        }
+    }
+    if (!directory_.hasWorkers()) {
+        return;
+    }
+    for (const auto &pool : directory_.view().catalog.activePools()) {
+        const auto partition = partitionOf(pool, settings_.ownership.partitions);
+        const auto token = ownership.tokens().find(partition);
+        if (token != ownership.tokens().end() && !pools_.contains(pool)) {
+            auto task = std::make_unique<PoolTask>(loop_, services_, settings_, directory_.view(),
+                                                   PoolIdentity{pool, token->second}, partition);
+            task->setTerm(ownership.termUntil());
+            pools_[pool] = std::move(task);
+        }
+    }
+}
+
+auto PoolsTask::tick() -> void
+{
+    for (auto &[name, pool] : pools_) {
+        pool->tick();
+    }
+}
+
+auto PoolsTask::handle(const PoolCall &call, PoolAnswerSlot slot) -> void
+{
+    const auto found = pools_.find(call.pool);
+    if (found == pools_.end()) {
+        slot({PoolStatus::NotOwner, JobState::Queued, 0, "this node doesn't own the pool", 0});
+        return;
+    }
+    found->second->handle(call, std::move(slot));
+}
+
+auto PoolsTask::isSettled() const -> bool
+{
+    return std::ranges::all_of(pools_, [](const auto &item) {
+        return !item.second->isReady() || item.second->scheduler()->isSettled();
+    });
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/router_task.cpp
@@ -0,0 +1,122 @@
+#include "node/node_internal.h"
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr std::string_view kPoolsPath = "/v1/pools";
+constexpr int              kHttpOk = 200;
+
+// A member's name is NODE@ADDRESS#LIFE.
+auto addressOf(std::string_view member) -> std::string
+{
+    const auto at = member.find('@');
+    const auto hash = member.find('#');
+    if (at == std::string_view::npos || hash == std::string_view::npos || hash < at) {
+        return {};
+    }
+    return std::string(member.substr(at + 1, hash - at - 1));
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Router task
+//-----------------------------------------------------------------------------
+
+RouterTask::RouterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
+                       PoolsTask &pools, OwnershipTask &ownership)
+    : loop_(loop), peers_(peers), settings_(settings), pools_(pools), ownership_(ownership)
+{
+}
+
+auto RouterTask::route(const PoolCall &call, TimeMs deadline, PoolAnswerSlot slot) -> void
+{
+    attempt(std::make_shared<Trip>(Trip{call, deadline, std::move(slot)}));
+}
+
+auto RouterTask::attempt(const std::shared_ptr<Trip> &trip) -> void
+{
+    const auto now = bootMs();
+    const auto member = ownership_.memberOf(trip->call.pool);
+    const auto slot = [this, trip](const PoolAnswer &answer) { onAnswer(trip, answer); };
+    ++trip->tries;
+    if (member == ownership_.member()) {
+        pools_.handle(trip->call, slot);
+        return;
+    }
+    const auto address = addressOf(member);
+    if (address.empty() || now >= trip->deadline) {
+        onAnswer(trip, {PoolStatus::NotOwner, JobState::Queued, 0, "the pool has no owner", 0});
+        return;
+    }
+    const auto timeout = std::min(settings_.ownerCallMs, trip->deadline - now);
+    auto       call = HttpCall{"POST", std::string(kPoolsPath),
+                         {{"Content-Type", "application/msgpack"}}, packCall(trip->call), timeout};
+    peers_.request(address, std::move(call), [slot](const HttpResult &result) {
+        if (!result.isWhole) {
+            slot({result.isWritten ? PoolStatus::Unknown : PoolStatus::NotOwner, JobState::Queued,
+                  0, "the pool's owner: " + result.error, 0});
+            return;
+        }
+        const auto answer = result.status == kHttpOk
+            ? unpackAnswer(result.body)
+            : makeError(absl::StatusCode::kUnavailable, "peer.call", "", "not an answer");
+        slot(answer.ok() ? *answer
+                         : PoolAnswer{PoolStatus::Unknown, JobState::Queued, 0,
+                                      std::string(answer.status().message()), 0});
+    });
+}
+
+auto RouterTask::onAnswer(const std::shared_ptr<Trip> &trip, const PoolAnswer &answer) -> void
+{
+    trip->isUnknown = trip->isUnknown || answer.status == PoolStatus::Unknown;
+    const auto isFinal =
+        answer.status == PoolStatus::Ok || answer.status == PoolStatus::Missing;
+    const auto isRefused = answer.status == PoolStatus::Refused;
+    if (isFinal || (isRefused && !trip->isUnknown)) {
+        trip->slot(answer);
+        return;
+    }
+    if (bootMs() + settings_.routeRetryMs >= trip->deadline || isRefused) {
+        auto last = answer;
+        last.status = trip->isUnknown ? PoolStatus::Unknown : PoolStatus::NotOwner;
+        trip->slot(last);
+        return;
+    }
+    ownership_.refreshOwners();
+    loop_.post([this, trip] { attempt(trip); }, settings_.routeRetryMs);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Peer task
+//-----------------------------------------------------------------------------
+
+PeerServerTask::PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools)
+    : settings_(settings), pools_(pools), server_(loop, {settings.maxHeaderBytes,
+                                                        2 * settings.maxBodyBytes})
+{
+    server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
+}
+
+auto PeerServerTask::listen() -> absl::Status
+{
+    return server_.listen(settings_.peersAddress);
+}
+
+auto PeerServerTask::onRequest(const HttpRequest &request) -> void
+{
+    constexpr int kBadRequest = 400;
+    const auto    call = unpackCall(request.body);
+    if (request.path != kPoolsPath || !call.ok()) {
+        logEvent(LogLevel::Warning, "peer.bad_call",
+                 {{"path", request.path}, {"error", call.status().ToString()}});
+        server_.reply(request.id, {kBadRequest, "text/plain", "not a call\n", {}});
+        return;
+    }
+    pools_.handle(*call, [this, id = request.id](const PoolAnswer &answer) {
+        server_.reply(id, {kHttpOk, "application/msgpack", packAnswer(answer), {}});
+    });
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,96 @@
+#include "node/node.h"
+
+namespace peridotwalk {
+
+namespace {
+
+using Json = nlohmann::json;
+using Errors = std::vector<SettingsError>;
+
+constexpr TimeMs       kMaxMs = 86'400'000;
+constexpr std::int64_t kMaxPartitions = 4'096;
+
+auto readListen(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto reader = ObjectReader(root.child("listen", true), root.pathOf("listen"), errors);
+    reader.address("callers", settings.callersAddress);
+    reader.address("ready", settings.readyAddress);
+    reader.address("peers", settings.peersAddress);
+    reader.optionalAddress("metrics", settings.metricsAddress);
+}
+
+auto readStore(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto reader = ObjectReader(root.child("store", true), root.pathOf("store"), errors);
+    reader.address("address", settings.platform.store);
+    reader.integer("timeout_ms", settings.platform.storeTimeoutMs, 10, kMaxMs);
+    reader.integer("partitions", settings.ownership.partitions, 1, kMaxPartitions);
+    reader.integer("ownership_ttl_ms", settings.ownership.ttlMs, 100, kMaxMs);
+    reader.integer("renew_ms", settings.ownership.renewMs, 10, kMaxMs);
+    reader.integer("workers_poll_ms", settings.workersPollMs, 10, kMaxMs);
+    if (settings.ownership.renewMs * 2 + settings.ownership.marginMs > settings.ownership.ttlMs) {
+        reader.fail("renew_ms", "must leave time for two renewals in ownership_ttl_ms");
+    }
+}
+
+auto readServices(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto machines = ObjectReader(root.child("machines", false), root.pathOf("machines"), errors);
+    machines.optionalAddress("address", settings.platform.machines);
+    machines.integer("timeout_ms", settings.platform.machineTimeoutMs, 10, kMaxMs);
+    machines.integer("holder_gap_ms", settings.holderGapMs, 0, kMaxMs);
+    auto advice = ObjectReader(root.child("advice", false), root.pathOf("advice"), errors);
+    advice.optionalAddress("address", settings.platform.advice);
+}
+
+auto readWorkers(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto  reader = ObjectReader(root.child("workers", false), root.pathOf("workers"), errors);
+    auto &pool = settings.pool;
+    reader.integer("timeout_ms", settings.platform.workerTimeoutMs, 10, kMaxMs);
+    reader.integer("lease_ms", pool.leaseMs, 100, kMaxMs);
+    reader.integer("max_lease_ms", pool.maxLeaseMs, 100, kMaxMs);
+    reader.integer("hold_wait_ms", pool.holdWaitMs, 0, 2'000);
+    reader.integer("stop_ms", pool.stopMs, 0, kMaxMs);
+    pool.leaseMs = std::min(pool.leaseMs, pool.maxLeaseMs);
+}
+
+auto readCallers(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto reader = ObjectReader(root.child("callers", false), root.pathOf("callers"), errors);
+    reader.integer("budget_ms", settings.callBudgetMs, 10, kMaxMs);
+    reader.integer("max_header_bytes", settings.maxHeaderBytes, 256, 1'048'576);
+    reader.integer("max_body_bytes", settings.maxBodyBytes, 1, 16'777'216);
+    reader.integer("retry_after_ms", settings.retryAfterMs, 0, kMaxMs);
+}
+
+auto readRoot(const Json &json, ParsedNodeSettings &parsed) -> void
+{
+    auto &settings = parsed.settings;
+    auto &errors = parsed.errors;
+    auto  root = ObjectReader(json, "", errors);
+    root.name("name", settings.name);
+    root.name("zone", settings.zone);
+    readListen(root, settings, errors);
+    readStore(root, settings, errors);
+    readServices(root, settings, errors);
+    readWorkers(root, settings, errors);
+    readCallers(root, settings, errors);
+    root.integer("tick_ms", settings.tickMs, 1, 1'000);
+    root.integer("stop_linger_ms", settings.stopLingerMs, 0, kMaxMs);
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+auto parseNodeSettings(std::string_view json) -> ParsedNodeSettings
+{
+    auto parsed = ParsedNodeSettings{};
+    readSettingsText(json, parsed.errors, [&](const Json &root) { readRoot(root, parsed); });
+    return parsed;
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/ownership/ownership.cpp
@@ -0,0 +1,54 @@
+#include "ownership/ownership.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ownership
+//-----------------------------------------------------------------------------
+
+auto Ownership::onRenewed(TimeMs sentAt, TimeMs now, const Membership &membership)
+    -> OwnershipChange
+{
+    // A renewal that reached the store before the last one expired, or that finds the group unchanged,
+    // shows that nobody else held the partitions in between.
+    const auto isUnbroken = now < expiresAt_ || membership.generation == generation_;
+    auto       change = OwnershipChange{};
+    for (const auto &[partition, token] : tokens_) {
+        if (!isUnbroken || !membership.partitions.contains(partition)) {
+            change.lost.insert(partition);
+        }
+    }
+    for (const auto partition : change.lost) {
+        tokens_.erase(partition);
+    }
+    for (const auto partition : membership.partitions) {
+        const auto [found, isNew] = tokens_.try_emplace(partition, membership.generation);
+        if (isNew) {
+            change.acquired[partition] = found->second;
+        }
+    }
+    generation_ = membership.generation;
+    expiresAt_ = std::max(expiresAt_, sentAt + settings_.ttlMs);
+    termUntil_ = expiresAt_ - settings_.marginMs;
+    return change;
+}
+
+auto Ownership::leave() -> OwnershipChange
+{
+    auto change = OwnershipChange{};
+    for (const auto &[partition, token] : tokens_) {
+        change.lost.insert(partition);
+    }
+    tokens_.clear();
+    termUntil_ = 0;
+    return change;
+}
+
+auto partitionOf(std::string_view pool, std::int64_t partitions) -> std::int64_t
+{
+    return static_cast<std::int64_t>(stableHash(pool) % static_cast<std::uint64_t>(partitions));
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/jobs.cpp
@@ -0,0 +1,241 @@
+#include "pool/pool_internal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kStalledRetryMs = 1'000; // Outages of the store last seconds.
+
+auto countFailures(const std::vector<JobTask> &tasks) -> std::int64_t
+{
+    std::int64_t failures = 0;
+    for (const auto &task : tasks) {
+        failures += task.failures;
+    }
+    return failures;
+}
+
+auto hasRunsLeft(const JobEntry &entry, const TaskRef &ref, std::int64_t maxAttempts) -> bool
+{
+    const auto &tasks =
+        entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)];
+    const auto &step = stepOf(entry, ref);
+    if (step.isLongRunning) {
+        return true;
+    }
+    // A gang fails as one: each of its failed runs shows at one member only.
+    const auto failures =
+        step.isGang ? countFailures(tasks) : tasks[static_cast<std::size_t>(ref.index)].failures;
+    return failures < maxAttempts;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Jobs
+//-----------------------------------------------------------------------------
+
+auto roomNeed(const StepSpec &step) -> ResourceSet
+{
+    auto need = step.need;
+    if (step.isFiller) {
+        need.cpu = 0;
+    }
+    return need;
+}
+
+auto stepOf(const JobEntry &entry, const TaskRef &ref) -> const StepSpec &
+{
+    return entry.job.spec.steps[static_cast<std::size_t>(ref.step)];
+}
+
+auto PoolScheduler::State::queueOf(const JobEntry &entry) const -> const QueueRule *
+{
+    return view_.catalog.queue(entry.job.spec.queue);
+}
+
+auto PoolScheduler::State::restore(Moment now, JobTable jobs) -> void
+{
+    ownedSince_ = now.steadyMs;
+    for (auto &[id, job] : jobs) {
+        auto &entry = jobs_[id];
+        entry.job = std::move(job);
+        entry.recorded = entry.job.state;
+        entry.isRecorded = true;
+        if (!entry.job.isOver()) {
+            active_.insert(id);
+        }
+        for (auto &[number, occurrence] : entry.job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                    const auto &task = occurrence.steps[step][index];
+                    if (!task.isLive()) {
+                        continue;
+                    }
+                    const auto ref = TaskRef{id, number, static_cast<std::int64_t>(step),
+                                             static_cast<std::int64_t>(index)};
+                    auto      &worker = workers_[task.worker];
+                    worker.peer.id = task.worker;
+                    auto run = RunState{};
+                    run.run = task.run;
+                    run.need = roomNeed(stepOf(entry, ref));
+                    run.isSent = true;
+                    run.isRestored = true;
+                    worker.used += run.need;
+                    tenantUsed_[entry.job.spec.tenant] += stepOf(entry, ref).need;
+                    worker.runs[ref] = run;
+                }
+            }
+        }
+    }
+    onViewChanged(now);
+}
+
+auto PoolScheduler::State::submit(Moment now, std::int64_t handle, JobSpec spec) -> void
+{
+    const auto found = jobs_.find(spec.id);
+    if (found != jobs_.end()) {
+        if (found->second.isRecorded) {
+            actions_.push_back(AnswerCaller{handle, JobVerdict::Accepted});
+        } else {
+            after(AnswerEffect{handle, JobVerdict::Accepted});
+        }
+        return;
+    }
+    if (isStalled(now) || now.steadyMs >= termUntil_) {
+        actions_.push_back(AnswerCaller{handle, JobVerdict::Refused,
+                                        "the journal can't be written now", kStalledRetryMs});
+        return;
+    }
+    const auto id = spec.id;
+    auto      &entry = jobs_[id];
+    entry.job.spec = std::move(spec);
+    entry.job.acceptedAtMs = now.wallMs;
+    active_.insert(id);
+    submitted_.insert(id);
+    after(AnswerEffect{handle, JobVerdict::Accepted});
+    needsSchedule_ = true;
+}
+
+auto PoolScheduler::State::cancel(Moment now, std::int64_t handle, std::string_view id) -> void
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        actions_.push_back(AnswerCaller{handle, JobVerdict::Missing});
+        return;
+    }
+    auto &entry = found->second;
+    if (entry.job.isOver() && entry.recorded == entry.job.state) {
+        actions_.push_back(AnswerCaller{handle, JobVerdict::Cancelled});
+        return;
+    }
+    if (!entry.job.isOver()) {
+        finishJob(now, entry, JobState::Cancelled);
+    }
+    after(AnswerEffect{handle, JobVerdict::Cancelled});
+}
+
+auto PoolScheduler::State::finishJob(Moment now, JobEntry &entry, JobState state) -> void
+{
+    const auto &id = entry.job.spec.id;
+    entry.job.state = state;
+    active_.erase(id);
+    markChanged(id);
+    note("job.over", {id, 0, 0, 0}, 0, "", std::string(stateName(state)));
+    for (auto &[name, worker] : workers_) {
+        auto stopped = std::vector<TaskRef>();
+        for (const auto &[ref, run] : worker.runs) {
+            if (ref.job == id && !run.isStopping) {
+                stopped.push_back(ref);
+            }
+        }
+        for (const auto &ref : stopped) {
+            requestStop(now, worker, ref);
+        }
+    }
+    needsSchedule_ = true;
+}
+
+// Takes note of the end of a run. The room on the worker becomes free.
+auto PoolScheduler::State::endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run,
+                                  RunEnd end, const std::string &checkpoint) -> void
+{
+    const auto held = worker.runs.find(ref);
+    if (held != worker.runs.end() && held->second.run == run) {
+        release(worker, ref);
+    }
+    const auto found = jobs_.find(ref.job);
+    auto      *task = found == jobs_.end() ? nullptr : findTask(found->second.job, ref);
+    if (task == nullptr) {
+        return;
+    }
+    auto      &entry = found->second;
+    const auto isNews = run > task->endedRun || (end == RunEnd::Done && !task->isDone);
+    if (!isNews) {
+        return;
+    }
+    markChanged(ref.job);
+    needsSchedule_ = true;
+    task->endedRun = std::max(task->endedRun, run);
+    if (!checkpoint.empty()) {
+        task->checkpoint = checkpoint;
+    }
+    if (run == task->run) {
+        task->worker.clear();
+        task->phase = RunPhase::None;
+    }
+    if (end == RunEnd::Done && !stepOf(entry, ref).isLongRunning) {
+        worker.failuresInRow = 0;
+        task->isDone = true;
+        if (stepOf(entry, ref).isGang) {
+            for (auto &member :
+                 entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)]) {
+                member.isDone = true;
+            }
+        }
+    }
+    if (end == RunEnd::Failed) {
+        ++task->failures;
+        ++worker.failuresInRow;
+        if (worker.failuresInRow >= settings_.maxFailuresInRow) {
+            worker.avoidUntil = now.steadyMs + settings_.avoidMs;
+        }
+    }
+    const auto *queue = queueOf(entry);
+    if (!entry.job.isOver() && queue != nullptr && end == RunEnd::Failed
+        && !hasRunsLeft(entry, ref, queue->maxAttempts)) {
+        finishJob(now, entry, JobState::Failed);
+        return;
+    }
+    updateJob(now, entry);
+}
+
+// Ends the job once every task of every occurrence is done.
+auto PoolScheduler::State::updateJob(Moment now, JobEntry &entry) -> void
+{
+    auto &job = entry.job;
+    if (job.isOver()) {
+        return;
+    }
+    const auto total = occurrenceCount(job.spec);
+    if (std::ssize(job.occurrences) < total) {
+        return;
+    }
+    const auto isDone = std::ranges::all_of(
+        job.occurrences, [](const auto &item) { return isOccurrenceDone(item.second); });
+    if (isDone) {
+        finishJob(now, entry, JobState::Completed);
+    }
+}
+
+auto PoolScheduler::State::note(std::string_view event, const TaskRef &task, std::int64_t run,
+                                const std::string &worker, std::string detail) -> void
+{
+    actions_.push_back(NoteRun{event, task, run, worker, std::move(detail)});
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/journal.cpp
@@ -0,0 +1,100 @@
+#include "pool/pool_internal.h"
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kAppendRetryMs = 100; // The store answers in a few ms; retries cost calls.
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Batches
+//-----------------------------------------------------------------------------
+
+// Puts everything that changed since the last append into the next one.
+auto PoolScheduler::State::flush(Moment now) -> void
+{
+    if (isFenced_) {
+        return;
+    }
+    if (batch_) {
+        if (!batch_->isOut && now.steadyMs >= batch_->retryAt) {
+            batch_->isOut = true;
+            actions_.push_back(AppendJournal{sequence_, batch_->records});
+        }
+        return;
+    }
+    if (changed_.empty() && submitted_.empty() && effects_.empty()) {
+        return;
+    }
+    if (now.steadyMs - flushedAt_ < settings_.flushGapMs) {
+        return;
+    }
+    flushedAt_ = now.steadyMs;
+    auto batch = Batch{};
+    batch.startedAt = now.steadyMs;
+    for (const auto &id : submitted_) {
+        batch.records.push_back(encodeJob(jobs_.at(id).job));
+        batch.states[id] = jobs_.at(id).job.state;
+    }
+    for (const auto &id : changed_) {
+        batch.records.push_back(encodeProgress(jobs_.at(id).job));
+        batch.states[id] = jobs_.at(id).job.state;
+    }
+    submitted_.clear();
+    changed_.clear();
+    batch.effects = std::exchange(effects_, {});
+    batch_ = std::move(batch);
+    if (batch_->records.empty()) {
+        onAppended(now, sequence_, CallOutcome::Done);
+        return;
+    }
+    ++sequence_;
+    batch_->isOut = true;
+    actions_.push_back(AppendJournal{sequence_, batch_->records});
+}
+
+auto PoolScheduler::State::onAppended(Moment now, std::int64_t sequence, CallOutcome outcome)
+    -> void
+{
+    if (!batch_ || sequence != sequence_) {
+        return;
+    }
+    if (outcome == CallOutcome::Fenced) {
+        isFenced_ = true;
+        return;
+    }
+    if (outcome != CallOutcome::Done) {
+        batch_->isOut = false; // The same sequence again: a repeat has no further effect.
+        batch_->retryAt = now.steadyMs + kAppendRetryMs;
+        return;
+    }
+    auto batch = *std::exchange(batch_, std::nullopt);
+    for (const auto &[id, state] : batch.states) {
+        auto &entry = jobs_.at(id);
+        entry.isRecorded = true;
+        entry.recorded = state;
+    }
+    for (const auto &effect : batch.effects) {
+        if (const auto *answer = std::get_if<AnswerEffect>(&effect)) {
+            actions_.push_back(AnswerCaller{answer->handle, answer->verdict});
+        } else if (const auto *start = std::get_if<StartEffect>(&effect)) {
+            dispatch(now, *start);
+        } else if (const auto *ack = std::get_if<AckEffect>(&effect)) {
+            auto &worker = workers_.at(ack->worker);
+            if (worker.bornMs == ack->bornMs) {
+                worker.recordedEnd = std::max(worker.recordedEnd, ack->end);
+                worker.nextHoldAt = now.steadyMs;
+            }
+        }
+    }
+    needsSchedule_ = true;
+}
+
+auto PoolScheduler::State::isStalled(Moment now) const -> bool
+{
+    return batch_ && now.steadyMs - batch_->startedAt > settings_.journalStallMs;
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/placement.cpp
@@ -0,0 +1,273 @@
+#include "pool/pool_internal.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
+
+// Returns the longest chain of work from the start, by the steps' estimates.
+auto longestChain(const JobSpec &spec) -> TimeMs
+{
+    auto   ends = std::vector<TimeMs>(spec.steps.size());
+    TimeMs longest = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        TimeMs begin = 0;
+        for (const auto earlier : spec.steps[step].after) {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[step] = begin + spec.steps[step].estimateMs;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+// Returns how much better `worker` is than others for a task; higher wins. Timed work is packed, so
+// that large tasks find room. Serving and filling tasks are kept apart, as they slow each other down.
+auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks) -> double
+{
+    const auto room = worker.room();
+    const auto capacity = std::max<std::int64_t>(1, worker.report.capacity.cpu);
+    const auto free = static_cast<double>(room.cpu) / static_cast<double>(capacity);
+    if (step.isFiller) {
+        return free - static_cast<double>(servingTasks);
+    }
+    return step.isLongRunning ? free : -free;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ready steps
+//-----------------------------------------------------------------------------
+
+auto PoolScheduler::State::findReadySteps(Moment now) -> std::vector<ReadyStep>
+{
+    auto ready = std::vector<ReadyStep>();
+    nextDueMs_ = 0;
+    for (const auto &id : active_) {
+        auto       &entry = jobs_.at(id);
+        auto       &job = entry.job;
+        const auto *queue = queueOf(entry);
+        for (std::int64_t number = 0; number < occurrenceCount(job.spec); ++number) {
+            const auto due = occurrenceDueMs(job.spec, number);
+            if (due > now.wallMs) {
+                nextDueMs_ = nextDueMs_ == 0 ? due : std::min(nextDueMs_, due);
+                break;
+            }
+            auto [found, isNew] = job.occurrences.try_emplace(number);
+            if (isNew) {
+                found->second = makeOccurrence(job.spec);
+            }
+            const auto &occurrence = found->second;
+            if (isOccurrenceDone(occurrence)) {
+                continue;
+            }
+            auto step = ReadyStep{};
+            step.entry = &entry;
+            step.occurrence = number;
+            step.dueMs = std::max(job.acceptedAtMs, due);
+            step.remaining = remainingWork(job.spec, occurrence);
+            if (queue != nullptr) {
+                step.priority = queue->priority;
+                const auto objective = queue->stretch * static_cast<double>(longestChain(job.spec));
+                step.isLate =
+                    now.wallMs > step.dueMs + queue->objectiveMs + static_cast<TimeMs>(objective);
+            }
+            for (step.step = 0; step.step < std::ssize(job.spec.steps); ++step.step) {
+                step.isLongRunning =
+                    job.spec.steps[static_cast<std::size_t>(step.step)].isLongRunning;
+                if (isStepReady(job.spec, occurrence, step.step)) {
+                    ready.push_back(step);
+                }
+            }
+        }
+    }
+    std::ranges::sort(ready, {}, [](const ReadyStep &step) {
+        return std::tuple(!step.isLongRunning, step.isLate, step.priority, step.remaining,
+                          step.dueMs);
+    });
+    return ready;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Placement
+//-----------------------------------------------------------------------------
+
+auto PoolScheduler::State::schedule(Moment now) -> void
+{
+    const auto isDue = nextDueMs_ > 0 && now.wallMs >= nextDueMs_;
+    const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
+    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || now.steadyMs >= termUntil_) {
+        return;
+    }
+    needsSchedule_ = false;
+    tenantWanted_.clear();
+    for (const auto &step : findReadySteps(now)) {
+        const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
+        if (spec.isGang) {
+            placeGang(now, step);
+        } else {
+            placeStep(now, step);
+        }
+    }
+}
+
+auto PoolScheduler::State::mayUse(const std::string &tenant, const ResourceSet &need) const -> bool
+{
+    const auto *rule = view_.catalog.tenant(tenant);
+    if (rule == nullptr) {
+        return true; // Queues open to all have no tenant.
+    }
+    const auto allowance = allowances_.find(tenant);
+    const auto limit = allowance == allowances_.end() ? ResourceSet{} : allowance->second;
+    const auto found = tenantUsed_.find(tenant);
+    auto       used = found == tenantUsed_.end() ? ResourceSet{} : found->second;
+    used += need;
+    const auto within = [](std::int64_t maximum, std::int64_t share, std::int64_t amount) {
+        return maximum == 0 || amount <= share;
+    };
+    return within(rule->maximum.cpu, limit.cpu, used.cpu)
+        && within(rule->maximum.memoryMb, limit.memoryMb, used.memoryMb)
+        && within(rule->maximum.accelerators, limit.accelerators, used.accelerators);
+}
+
+// Returns whether all tasks that could start found a worker.
+auto PoolScheduler::State::placeStep(Moment now, const ReadyStep &step) -> bool
+{
+    auto       &entry = *step.entry;
+    const auto &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
+    const auto &tenant = entry.job.spec.tenant;
+    auto       &tasks =
+        entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].isDone || tasks[index].isLive()) {
+            continue;
+        }
+        tenantWanted_[tenant] += spec.need;
+        const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
+                                 static_cast<std::int64_t>(index)};
+        auto      *worker =
+            mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref, "") : nullptr;
+        if (worker == nullptr) {
+            return false;
+        }
+        reserve(now, entry, ref, *worker);
+    }
+    return true;
+}
+
+// Places all members of a gang, or none.
+auto PoolScheduler::State::placeGang(Moment now, const ReadyStep &step) -> void
+{
+    auto &entry = *step.entry;
+    auto &tasks =
+        entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
+    const auto isAnyLive = std::ranges::any_of(tasks, &JobTask::isLive);
+    if (isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone)) {
+        return;
+    }
+    const auto &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
+    const auto &tenant = entry.job.spec.tenant;
+    std::int64_t run = 0;
+    for (const auto &task : tasks) {
+        run = std::max(run, task.run);
+    }
+    // Room is taken member by member on the real books, and given back if one finds none.
+    auto placed = std::vector<std::pair<Worker *, TaskRef>>();
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
+                                 static_cast<std::int64_t>(index)};
+        tenantWanted_[tenant] += spec.need;
+        auto *worker = mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref, "") : nullptr;
+        if (worker == nullptr) {
+            break;
+        }
+        auto state = RunState{};
+        state.run = run + 1;
+        state.need = roomNeed(spec);
+        worker->used += state.need;
+        tenantUsed_[tenant] += spec.need;
+        worker->runs[ref] = state;
+        placed.emplace_back(worker, ref);
+    }
+    const auto isWhole = placed.size() == tasks.size();
+    for (const auto &[worker, ref] : placed) {
+        release(*worker, ref);
+    }
+    if (!isWhole) {
+        return;
+    }
+    for (const auto &[worker, ref] : placed) {
+        auto &task = tasks[static_cast<std::size_t>(ref.index)];
+        task.run = run;
+        reserve(now, entry, ref, *worker);
+    }
+}
+
+auto PoolScheduler::State::chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref,
+                                        const std::string &rack) -> Worker *
+{
+    const auto &step = stepOf(entry, ref);
+    const auto  need = roomNeed(step);
+    Worker     *best = nullptr;
+    auto        bestFitness = 0.0;
+    for (auto &[id, worker] : workers_) {
+        if (!isUsable(now, worker) || !need.fits(worker.room())) {
+            continue;
+        }
+        if (!step.requiredLabel.empty() && !worker.report.labels.contains(step.requiredLabel)) {
+            continue;
+        }
+        if (!rack.empty() && worker.report.rack != rack) {
+            continue;
+        }
+        std::int64_t siblings = 0;
+        std::int64_t serving = 0;
+        for (const auto &[other, run] : worker.runs) {
+            const auto isSibling = other.job == ref.job && other.occurrence == ref.occurrence
+                && other.step == ref.step;
+            siblings += isSibling ? 1 : 0;
+            const auto &otherStep = stepOf(jobs_.at(other.job), other);
+            serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
+        }
+        if (step.maxPerWorker > 0 && siblings >= step.maxPerWorker) {
+            continue;
+        }
+        auto score = fitness(worker, step, serving);
+        if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
+            score += 10; // Work far from its data takes a multiple of the time.
+        }
+        if (best == nullptr || score > bestFitness) {
+            best = &worker;
+            bestFitness = score;
+        }
+    }
+    return best;
+}
+
+auto PoolScheduler::State::reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker)
+    -> void
+{
+    auto &task = *findTask(entry.job, ref);
+    ++task.run;
+    task.worker = worker.peer.id;
+    task.phase = RunPhase::Recording;
+    task.changedAt = now.steadyMs;
+    auto run = RunState{};
+    run.run = task.run;
+    run.need = roomNeed(stepOf(entry, ref));
+    worker.used += run.need;
+    tenantUsed_[entry.job.spec.tenant] += stepOf(entry, ref).need;
+    worker.runs[ref] = run;
+    if (entry.job.state == JobState::Queued) {
+        entry.job.state = JobState::Running;
+    }
+    markChanged(entry.job.spec.id);
+    after(StartEffect{ref, task.run, worker.peer.id});
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/pool.cpp
@@ -0,0 +1,175 @@
+#include "pool/pool_internal.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+PoolScheduler::State::State(PoolIdentity identity, const PoolSettings &settings,
+                            const FleetView &view)
+    : identity_(std::move(identity)), settings_(settings), view_(view)
+{
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Scheduler
+//-----------------------------------------------------------------------------
+
+PoolScheduler::PoolScheduler(PoolIdentity identity, const PoolSettings &settings,
+                             const FleetView &view)
+    : state_(std::make_unique<State>(std::move(identity), settings, view))
+{
+}
+
+PoolScheduler::~PoolScheduler() = default;
+
+auto PoolScheduler::restore(Moment now, JobTable jobs) -> void
+{
+    state_->restore(now, std::move(jobs));
+}
+
+auto PoolScheduler::setTerm(TimeMs untilMs) -> void
+{
+    state_->termUntil_ = untilMs;
+}
+
+auto PoolScheduler::submit(Moment now, std::int64_t handle, JobSpec spec) -> void
+{
+    state_->submit(now, handle, std::move(spec));
+}
+
+auto PoolScheduler::cancel(Moment now, std::int64_t handle, std::string_view id) -> void
+{
+    state_->cancel(now, handle, id);
+}
+
+auto PoolScheduler::onViewChanged(Moment now) -> void
+{
+    state_->onViewChanged(now);
+}
+
+auto PoolScheduler::onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void
+{
+    state_->onAppended(now, sequence, outcome);
+}
+
+auto PoolScheduler::onStarted(Moment now, const SendStart &sent, const OrderReply &reply) -> void
+{
+    state_->onStarted(now, sent, reply);
+}
+
+auto PoolScheduler::onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void
+{
+    state_->onStopped(now, sent, reply);
+}
+
+auto PoolScheduler::onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void
+{
+    state_->onHeld(now, sent, reply);
+}
+
+// Does what is due: retries, holds, lapses, placement, and the next append.
+auto PoolScheduler::tick(Moment now) -> void
+{
+    if (state_->isFenced_) {
+        return;
+    }
+    for (auto &[id, worker] : state_->workers_) {
+        state_->tickWorker(now, worker);
+    }
+    state_->schedule(now);
+    state_->flush(now);
+}
+
+auto PoolScheduler::setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void
+{
+    auto &held = state_->allowances_[tenant];
+    state_->needsSchedule_ = state_->needsSchedule_ || !(held == allowance);
+    held = allowance;
+}
+
+auto PoolScheduler::setCordon(const std::string &worker, bool isCordoned) -> void
+{
+    if (isCordoned) {
+        state_->cordoned_.insert(worker);
+    } else {
+        state_->cordoned_.erase(worker);
+    }
+    const auto found = state_->workers_.find(worker);
+    if (found != state_->workers_.end()) {
+        found->second.isCordoned = isCordoned;
+        state_->needsSchedule_ = true;
+    }
+}
+
+auto PoolScheduler::takeActions() -> std::vector<PoolAction>
+{
+    return std::exchange(state_->actions_, {});
+}
+
+auto PoolScheduler::identity() const -> const PoolIdentity &
+{
+    return state_->identity_;
+}
+
+auto PoolScheduler::jobState(std::string_view id) const -> std::optional<JobState>
+{
+    const auto found = state_->jobs_.find(id);
+    if (found == state_->jobs_.end() || !found->second.isRecorded) {
+        return std::nullopt;
+    }
+    return found->second.recorded;
+}
+
+auto PoolScheduler::countPending(std::string_view queue) const -> std::int64_t
+{
+    return std::ranges::count_if(state_->active_, [&](const std::string &id) {
+        const auto &entry = state_->jobs_.at(id);
+        return entry.isRecorded && entry.job.spec.queue == queue
+            && entry.job.state == JobState::Queued;
+    });
+}
+
+auto PoolScheduler::isFenced() const -> bool
+{
+    return state_->isFenced_;
+}
+
+auto PoolScheduler::isVacant(const std::string &worker) const -> bool
+{
+    const auto found = state_->workers_.find(worker);
+    return found == state_->workers_.end() || found->second.runs.empty();
+}
+
+auto PoolScheduler::tenantUses() const -> std::map<std::string, TenantUse>
+{
+    auto uses = std::map<std::string, TenantUse>();
+    for (const auto &[tenant, used] : state_->tenantUsed_) {
+        uses[tenant].used = used;
+    }
+    for (const auto &[tenant, wanted] : state_->tenantWanted_) {
+        uses[tenant].wanted = wanted;
+    }
+    return uses;
+}
+
+auto PoolScheduler::countJobs() const -> std::size_t
+{
+    return state_->active_.size();
+}
+
+auto PoolScheduler::countRuns() const -> std::size_t
+{
+    std::size_t runs = 0;
+    for (const auto &[id, worker] : state_->workers_) {
+        runs += worker.runs.size();
+    }
+    return runs;
+}
+
+auto PoolScheduler::isSettled() const -> bool
+{
+    return !state_->batch_ && state_->changed_.empty() && state_->submitted_.empty()
+        && state_->effects_.empty();
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/pool_internal.h
@@ -0,0 +1,200 @@
+// State of a pool's scheduler. Only for the sources of this library.
+//
+// Index of this file
+// [SECTION] Workers
+// [SECTION] Batches
+// [SECTION] Scheduler state
+
+#pragma once
+
+#include "pool/pool.h"
+
+#include <deque>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Workers
+//-----------------------------------------------------------------------------
+
+// A run that takes room on a worker, from its choice until it is known to be over.
+struct RunState {
+    std::int64_t run = 0;
+    ResourceSet    need;                // As counted against the worker.
+    bool         isSent = false;      // The order left at least once.
+    bool         isConfirmed = false; // The worker has it.
+    TimeMs       confirmedAt = 0;
+    bool         isRestored = false; // Known from the journal only.
+    bool         isStopping = false;
+    bool         isStopAnswered = false; // Nothing of this run starts any more.
+    TimeMs       stopAnsweredAt = 0;
+    bool         isOrderOut = false; // An order for it waits for its answer.
+    TimeMs       retryAt = 0;
+    int          attempts = 0;
+    std::int64_t percent = 0; // At work, as last listed.
+    std::int64_t usage = 0;   // As last listed.
+    std::int64_t pace = 100;  // As last ordered.
+};
+
+struct Worker {
+    WorkerPeer                  peer;
+    WorkerReport                report;
+    bool                        isListed = false;
+    bool                        isCordoned = false;
+    bool                        isAsked = false; // Answered a hold under our token.
+    bool                        isHoldOut = false;
+    ResourceSet                   used;
+    std::map<TaskRef, RunState> runs;
+    std::int64_t                bornMs = -1;
+    std::int64_t                seenEnd = 0;     // Highest end read in this life.
+    std::int64_t                recordedEnd = 0; // Highest end that the journal has.
+    TimeMs                      clockMs = 0;     // Last told by the worker, at
+    TimeMs                      clockAt = 0;     // this moment of ours.
+    TimeMs                      leaseUntilMs = 0; // Longest lease sent, on the worker's clock.
+    TimeMs                      nextHoldAt = 0;
+    TimeMs                      lastHeldAt = 0;
+    int                         holdFailures = 0;
+    int                         failuresInRow = 0;
+    TimeMs                      avoidUntil = 0;
+
+    auto room() const -> ResourceSet;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Batches
+//-----------------------------------------------------------------------------
+
+struct JobEntry {
+    Job      job;
+    JobState recorded = JobState::Queued;
+    bool     isRecorded = false;
+};
+
+// What happens once the journal has a batch.
+struct AnswerEffect {
+    std::int64_t handle = 0;
+    JobVerdict   verdict = JobVerdict::Accepted;
+};
+struct StartEffect {
+    TaskRef      task;
+    std::int64_t run = 0;
+    std::string  worker;
+};
+struct AckEffect {
+    std::string  worker;
+    std::int64_t bornMs = 0;
+    std::int64_t end = 0;
+};
+using Effect = std::variant<AnswerEffect, StartEffect, AckEffect>;
+
+struct Batch {
+    std::vector<KeyedRecord>        records;
+    std::map<std::string, JobState> states; // Of jobs in the batch.
+    std::vector<Effect>             effects;
+    TimeMs                          startedAt = 0;
+    TimeMs                          retryAt = 0;
+    bool                            isOut = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Scheduler state
+//-----------------------------------------------------------------------------
+
+// A step whose tasks may start now.
+struct ReadyStep {
+    JobEntry    *entry = nullptr;
+    std::int64_t occurrence = 0;
+    std::int64_t step = 0;
+    bool         isLongRunning = false;
+    bool         isLate = false; // Past its objective; earns little.
+    std::int64_t priority = 0;
+    std::int64_t remaining = 0; // Core-milliseconds.
+    std::int64_t dueMs = 0;
+};
+
+class PoolScheduler::State
+{
+public:
+    State(PoolIdentity identity, const PoolSettings &settings, const FleetView &view);
+
+    // Journal (journal.cpp)
+    auto markChanged(const std::string &id) -> void { changed_.insert(id); }
+    auto after(Effect effect) -> void { effects_.push_back(std::move(effect)); }
+    auto flush(Moment now) -> void;
+    auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
+    auto isStalled(Moment now) const -> bool;
+
+    // Jobs (jobs.cpp)
+    auto restore(Moment now, JobTable jobs) -> void;
+    auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
+    auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
+    auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
+                const std::string &checkpoint) -> void;
+    auto finishJob(Moment now, JobEntry &entry, JobState state) -> void;
+    auto updateJob(Moment now, JobEntry &entry) -> void;
+
+    // Runs (runs.cpp)
+    auto onViewChanged(Moment now) -> void;
+    auto dispatch(Moment now, const StartEffect &effect) -> void;
+    auto sendStart(Moment now, Worker &worker, const TaskRef &ref, RunState &run) -> void;
+    auto requestStop(Moment now, Worker &worker, const TaskRef &ref) -> void;
+    auto sendStop(Worker &worker, const TaskRef &ref, RunState &run) -> void;
+    auto release(Worker &worker, const TaskRef &ref) -> void;
+    auto abandon(Moment now, Worker &worker, const TaskRef &ref, std::string_view why) -> void;
+    auto loseRuns(Moment now, Worker &worker, std::string_view why) -> void;
+    auto onStarted(Moment now, const SendStart &sent, const OrderReply &reply) -> void;
+    auto onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void;
+    auto onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void;
+    auto readEnds(Moment now, Worker &worker, const HoldReply &reply) -> void;
+    auto readRunning(Moment now, Worker &worker, const HoldReply &reply) -> std::set<TaskRef>;
+    auto sendHold(Moment now, Worker &worker) -> void;
+    auto tickWorker(Moment now, Worker &worker) -> void;
+    auto controlPace(Worker &worker) -> void;
+    auto lapsedBy(const Worker &worker) const -> TimeMs;
+    auto setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
+    auto isUsable(Moment now, const Worker &worker) const -> bool;
+
+    // Placement (placement.cpp)
+    auto schedule(Moment now) -> void;
+    auto findReadySteps(Moment now) -> std::vector<ReadyStep>;
+    auto placeStep(Moment now, const ReadyStep &step) -> bool;
+    auto placeGang(Moment now, const ReadyStep &step) -> void;
+    auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref,
+                      const std::string &rack) -> Worker *;
+    auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
+    auto mayUse(const std::string &tenant, const ResourceSet &need) const -> bool;
+
+    auto queueOf(const JobEntry &entry) const -> const QueueRule *;
+    auto note(std::string_view event, const TaskRef &task, std::int64_t run,
+              const std::string &worker, std::string detail) -> void;
+
+    PoolIdentity                                 identity_;
+    PoolSettings                                 settings_;
+    const FleetView                             &view_;
+    TimeMs                                       termUntil_ = 0;
+    TimeMs                                       ownedSince_ = 0;
+    bool                                         isFenced_ = false;
+    bool                                         needsSchedule_ = false;
+    std::int64_t                                 nextDueMs_ = 0; // Wall clock, of an occurrence.
+    std::map<std::string, JobEntry, std::less<>> jobs_;
+    std::set<std::string>                        active_; // Jobs that aren't over.
+    std::map<std::string, Worker, std::less<>>   workers_;
+    std::map<std::string, ResourceSet>             tenantUsed_;
+    std::map<std::string, ResourceSet>             tenantWanted_;
+    std::map<std::string, ResourceSet>             allowances_;
+    std::set<std::string>                        cordoned_;
+    std::set<std::string>                        changed_;  // Progress to record.
+    std::set<std::string>                        submitted_; // Jobs to record.
+    std::vector<Effect>                          effects_;
+    std::optional<Batch>                         batch_; // Under way.
+    std::int64_t                                 sequence_ = 0;
+    TimeMs                                       flushedAt_ = 0;
+    std::vector<PoolAction>                      actions_;
+};
+
+// Returns what a task takes of a worker's room. Fillers use only cpu that others leave.
+auto roomNeed(const StepSpec &step) -> ResourceSet;
+
+auto stepOf(const JobEntry &entry, const TaskRef &ref) -> const StepSpec &;
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/pool/runs.cpp
@@ -0,0 +1,471 @@
+#include "pool/pool_internal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr double      kClockError = 1.03;       // Workers' clocks may be 2 % slow.
+constexpr TimeMs      kClockSlackMs = 300;      // Delays between a clock and its reading.
+constexpr std::size_t kFullPage = 500;          // A listing of that many ends may have more.
+constexpr TimeMs      kFreshHoldMs = 1'000;     // A worker can't start again within that.
+constexpr TimeMs      kStalledHoldMs = 1'000;   // Pace of holds whose ends can't be recorded.
+constexpr TimeMs      kRefusedAvoidMs = 500;    // After a worker refused a start.
+constexpr double      kPaceDownAt = 0.8;        // Of a serving task's target: slow fillers down.
+constexpr double      kPaceUpAt = 0.5;          // Below that: let them work more.
+constexpr std::int64_t kPaceStep = 20;          // Percent.
+constexpr std::int64_t kFullPace = 100;
+constexpr TimeMs      kPacedHoldMs = 500;       // Workers with fillers beside serving tasks.
+
+} // namespace
+
+auto Worker::room() const -> ResourceSet
+{
+    auto room = report.capacity;
+    room -= used;
+    return room;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Workers
+//-----------------------------------------------------------------------------
+
+auto PoolScheduler::State::onViewChanged(Moment now) -> void
+{
+    for (auto &[id, worker] : workers_) {
+        worker.isListed = false;
+    }
+    for (const auto &[id, report] : view_.workers) {
+        if (report.pool != identity_.pool) {
+            continue;
+        }
+        auto [found, isNew] = workers_.try_emplace(id);
+        auto &worker = found->second;
+        worker.report = report;
+        worker.peer = {id, report.address};
+        worker.isListed = true;
+        worker.isCordoned = cordoned_.contains(id);
+        if (isNew) {
+            worker.nextHoldAt = now.steadyMs;
+        }
+    }
+    std::erase_if(workers_, [](const auto &item) {
+        return !item.second.isListed && item.second.runs.empty() && !item.second.isHoldOut;
+    });
+    needsSchedule_ = true;
+}
+
+auto PoolScheduler::State::isUsable(Moment now, const Worker &worker) const -> bool
+{
+    return worker.isListed && worker.isAsked && worker.holdFailures == 0 && !worker.isCordoned
+        && !worker.report.isDraining && now.steadyMs >= worker.avoidUntil
+        && !view_.evacuatedZones.contains(worker.report.zone);
+}
+
+auto PoolScheduler::State::setClock(Moment now, Worker &worker, TimeMs clockMs) -> void
+{
+    if (clockMs > 0) {
+        worker.clockMs = clockMs;
+        worker.clockAt = now.steadyMs;
+    }
+}
+
+// Returns when everything on a silent worker is over for sure, on our clock.
+auto PoolScheduler::State::lapsedBy(const Worker &worker) const -> TimeMs
+{
+    if (!worker.isAsked || worker.clockAt == 0) {
+        // The former owner may have extended leases until its own limit.
+        return ownedSince_ + settings_.caretakerMs
+            + static_cast<TimeMs>(static_cast<double>(settings_.maxLeaseMs) * kClockError)
+            + kClockSlackMs;
+    }
+    const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
+    return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
+        + kClockSlackMs;
+}
+
+auto PoolScheduler::State::release(Worker &worker, const TaskRef &ref) -> void
+{
+    const auto held = worker.runs.find(ref);
+    const auto entry = jobs_.find(ref.job);
+    worker.used -= held->second.need;
+    if (entry != jobs_.end()) {
+        tenantUsed_[entry->second.job.spec.tenant] -= stepOf(entry->second, ref).need;
+    }
+    worker.runs.erase(held);
+}
+
+// The worker has nothing of this run and never will.
+auto PoolScheduler::State::abandon(Moment now, Worker &worker, const TaskRef &ref,
+                                   std::string_view why) -> void
+{
+    const auto run = worker.runs.at(ref).run;
+    note("run.abandoned", ref, run, worker.peer.id, std::string(why));
+    endRun(now, worker, ref, run, RunEnd::Stopped, "");
+}
+
+auto PoolScheduler::State::loseRuns(Moment now, Worker &worker, std::string_view why) -> void
+{
+    while (!worker.runs.empty()) {
+        const auto ref = worker.runs.begin()->first;
+        const auto run = worker.runs.begin()->second.run;
+        note("run.lost", ref, run, worker.peer.id, std::string(why));
+        endRun(now, worker, ref, run, RunEnd::Lapsed, "");
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Starts and stops
+//-----------------------------------------------------------------------------
+
+// The journal has the run. Everything that may have changed meanwhile is checked once more.
+auto PoolScheduler::State::dispatch(Moment now, const StartEffect &effect) -> void
+{
+    const auto found = workers_.find(effect.worker);
+    if (found == workers_.end() || !found->second.runs.contains(effect.task)) {
+        return;
+    }
+    auto &worker = found->second;
+    auto &run = worker.runs.at(effect.task);
+    if (run.run != effect.run || run.isSent) {
+        return;
+    }
+    if (run.isStopping || !isUsable(now, worker) || now.steadyMs >= termUntil_) {
+        abandon(now, worker, effect.task, "not startable any more");
+        return;
+    }
+    sendStart(now, worker, effect.task, run);
+}
+
+auto PoolScheduler::State::sendStart(Moment now, Worker &worker, const TaskRef &ref, RunState &run)
+    -> void
+{
+    auto &entry = jobs_.at(ref.job);
+    auto &task = *findTask(entry.job, ref);
+    auto  order = StartOrder{};
+    order.task = ref;
+    order.run = run.run;
+    order.payload = entry.job.spec.payload;
+    order.checkpoint = task.checkpoint;
+    order.leaseUntilMs = worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
+    order.token = identity_.token;
+    worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.leaseUntilMs);
+    run.isSent = true;
+    run.isOrderOut = true;
+    ++run.attempts;
+    task.phase = RunPhase::Starting;
+    actions_.push_back(SendStart{worker.peer, std::move(order)});
+}
+
+auto PoolScheduler::State::onStarted(Moment now, const SendStart &sent, const OrderReply &reply)
+    -> void
+{
+    const auto found = workers_.find(sent.worker.id);
+    if (reply.outcome == CallOutcome::Fenced) {
+        isFenced_ = true;
+        return;
+    }
+    if (found == workers_.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    setClock(now, worker, reply.clockMs);
+    const auto held = worker.runs.find(sent.order.task);
+    if (held == worker.runs.end() || held->second.run != sent.order.run) {
+        return;
+    }
+    auto &run = held->second;
+    run.isOrderOut = false;
+    if (reply.outcome == CallOutcome::Done) {
+        run.isConfirmed = true;
+        run.confirmedAt = now.steadyMs;
+        auto *task = findTask(jobs_.at(sent.order.task.job).job, sent.order.task);
+        if (!run.isStopping) {
+            task->phase = RunPhase::Running;
+            task->changedAt = now.steadyMs;
+        }
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now.steadyMs);
+        note("run.started", sent.order.task, run.run, worker.peer.id, "");
+        return;
+    }
+    if (reply.outcome == CallOutcome::Refused && reply.refusal == StartRefusal::OtherLife) {
+        worker.isListed = false;
+        loseRuns(now, worker, "another life answers at its address");
+        return;
+    }
+    if (reply.outcome == CallOutcome::Refused && run.attempts == 1 && !run.isStopping) {
+        worker.avoidUntil = std::max(worker.avoidUntil, now.steadyMs + kRefusedAvoidMs);
+        abandon(now, worker, sent.order.task,
+                fmt::format("refused, reason {}", static_cast<int>(reply.refusal)));
+        return;
+    }
+    // An earlier order of this run may still be on its way. Only a stop voids it.
+    if (run.attempts >= settings_.maxStartAttempts || reply.outcome == CallOutcome::Refused) {
+        requestStop(now, worker, sent.order.task);
+        return;
+    }
+    worker.avoidUntil = std::max(worker.avoidUntil, now.steadyMs + kRefusedAvoidMs);
+    run.retryAt = now.steadyMs + settings_.orderRetryMs;
+}
+
+auto PoolScheduler::State::requestStop(Moment now, Worker &worker, const TaskRef &ref) -> void
+{
+    auto &run = worker.runs.at(ref);
+    if (!run.isSent) {
+        run.isStopping = true;
+        abandon(now, worker, ref, "cancelled before its order left");
+        return;
+    }
+    if (auto *task = findTask(jobs_.at(ref.job).job, ref)) {
+        task->phase = RunPhase::Stopping;
+    }
+    run.isStopping = true;
+    sendStop(worker, ref, run);
+}
+
+auto PoolScheduler::State::sendStop(Worker &worker, const TaskRef &ref, RunState &run) -> void
+{
+    run.isOrderOut = true;
+    actions_.push_back(SendStop{worker.peer, {ref, run.run, identity_.token}});
+}
+
+auto PoolScheduler::State::onStopped(Moment now, const SendStop &sent, const OrderReply &reply)
+    -> void
+{
+    const auto found = workers_.find(sent.worker.id);
+    if (reply.outcome == CallOutcome::Fenced) {
+        isFenced_ = true;
+        return;
+    }
+    if (found == workers_.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    setClock(now, worker, reply.clockMs);
+    const auto held = worker.runs.find(sent.order.task);
+    if (held == worker.runs.end() || held->second.run != sent.order.run) {
+        return;
+    }
+    auto &run = held->second;
+    run.isOrderOut = false;
+    if (reply.outcome == CallOutcome::Done) {
+        run.isStopAnswered = true;
+        run.stopAnsweredAt = now.steadyMs;
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now.steadyMs);
+        return;
+    }
+    if (reply.refusal == StartRefusal::OtherLife && reply.outcome == CallOutcome::Refused) {
+        worker.isListed = false;
+        loseRuns(now, worker, "another life answers at its address");
+        return;
+    }
+    run.retryAt = now.steadyMs + settings_.orderRetryMs;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Holds
+//-----------------------------------------------------------------------------
+
+auto PoolScheduler::State::sendHold(Moment now, Worker &worker) -> void
+{
+    auto hold = SendHold{};
+    hold.worker = worker.peer;
+    hold.sentAt = now.steadyMs;
+    hold.order.token = identity_.token;
+    const auto hasUnrecorded = worker.seenEnd > worker.recordedEnd;
+    const auto isFresh = worker.isAsked && worker.holdFailures == 0
+        && now.steadyMs - worker.lastHeldAt < kFreshHoldMs + settings_.holdWaitMs;
+    // A worker that may have started again must not forget ends that we haven't read.
+    hold.order.ackCursor = isFresh ? worker.recordedEnd : 0;
+    if (isFresh && !hasUnrecorded && !worker.runs.empty()) {
+        const auto isPaced = std::ranges::any_of(worker.runs, [](const auto &item) {
+            return item.second.need.cpu == 0;
+        });
+        hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
+    }
+    if (worker.clockAt > 0 && now.steadyMs < termUntil_ + settings_.caretakerMs) {
+        const auto until =
+            worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
+        hold.order.leaseUntilMs = until;
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, until);
+    }
+    worker.isHoldOut = true;
+    actions_.push_back(std::move(hold));
+}
+
+auto PoolScheduler::State::onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void
+{
+    const auto found = workers_.find(sent.worker.id);
+    if (found == workers_.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    worker.isHoldOut = false;
+    if (reply.outcome == CallOutcome::Fenced) {
+        isFenced_ = true;
+        return;
+    }
+    if (reply.isOtherLife) {
+        worker.isListed = false;
+        loseRuns(now, worker, "another life answers at its address");
+        return;
+    }
+    if (reply.outcome != CallOutcome::Done) {
+        ++worker.holdFailures;
+        worker.nextHoldAt = now.steadyMs + settings_.holdRetryMs;
+        return;
+    }
+    if (worker.holdFailures > 0 || !worker.isAsked) {
+        needsSchedule_ = true;
+    }
+    setClock(now, worker, reply.clockMs);
+    if (worker.bornMs != reply.bornMs) {
+        worker.bornMs = reply.bornMs;
+        worker.seenEnd = 0;
+        worker.recordedEnd = 0;
+        worker.leaseUntilMs = reply.clockMs + settings_.leaseMs;
+    }
+    worker.isAsked = true;
+    worker.holdFailures = 0;
+    worker.lastHeldAt = now.steadyMs;
+    readEnds(now, worker, reply);
+    const auto listed = readRunning(now, worker, reply);
+    if (reply.ended.size() < kFullPage) {
+        auto missing = std::vector<TaskRef>();
+        for (const auto &[ref, run] : worker.runs) {
+            const auto wasThere = run.isConfirmed && run.confirmedAt < sent.sentAt;
+            const auto isVoided = run.isStopAnswered && run.stopAnsweredAt < sent.sentAt;
+            if (!listed.contains(ref) && (wasThere || isVoided || run.isRestored)) {
+                missing.push_back(ref);
+            }
+        }
+        for (const auto &ref : missing) {
+            const auto run = worker.runs.at(ref).run;
+            note("run.lost", ref, run, worker.peer.id, "the worker doesn't list it");
+            endRun(now, worker, ref, run, RunEnd::Lapsed, "");
+        }
+    }
+    controlPace(worker);
+    const auto hasUnrecorded = worker.seenEnd > worker.recordedEnd;
+    worker.nextHoldAt = now.steadyMs + (hasUnrecorded ? kStalledHoldMs : 0);
+}
+
+auto PoolScheduler::State::readEnds(Moment now, Worker &worker, const HoldReply &reply) -> void
+{
+    auto last = worker.seenEnd;
+    for (const auto &ended : reply.ended) {
+        if (ended.number <= worker.seenEnd) {
+            continue;
+        }
+        note("run.ended", ended.task, ended.run, worker.peer.id,
+             fmt::format("end {} number {}", static_cast<int>(ended.end), ended.number));
+        endRun(now, worker, ended.task, ended.run, ended.end, ended.checkpoint);
+        last = std::max(last, ended.number);
+    }
+    if (last > worker.seenEnd) {
+        worker.seenEnd = last;
+        after(AckEffect{worker.peer.id, worker.bornMs, last});
+    }
+}
+
+// Compares what a worker runs with what it should. Returns the tasks that it has rightly.
+auto PoolScheduler::State::readRunning(Moment now, Worker &worker, const HoldReply &reply)
+    -> std::set<TaskRef>
+{
+    auto listed = std::set<TaskRef>();
+    for (const auto &row : reply.running) {
+        const auto held = worker.runs.find(row.task);
+        if (held == worker.runs.end() || held->second.run != row.run) {
+            note("run.unexpected", row.task, row.run, worker.peer.id, "stopped");
+            actions_.push_back(SendStop{worker.peer, {row.task, row.run, identity_.token}});
+            continue;
+        }
+        listed.insert(row.task);
+        auto &run = held->second;
+        run.percent = row.percent;
+        run.usage = row.usage;
+        auto &entry = jobs_.at(row.task.job);
+        auto *task = findTask(entry.job, row.task);
+        if (!row.checkpoint.empty()) {
+            task->checkpoint = row.checkpoint;
+        }
+        if (!run.isConfirmed) {
+            run.isConfirmed = true;
+            run.confirmedAt = now.steadyMs;
+        }
+        if (std::exchange(run.isRestored, false) && !run.isStopping) {
+            task->phase = RunPhase::Running;
+            if (entry.job.isOver()) {
+                requestStop(now, worker, row.task);
+            }
+        }
+    }
+    return listed;
+}
+
+// Slows fillers down beside a serving task that nears its target, and lets them work more once it
+// is far below.
+auto PoolScheduler::State::controlPace(Worker &worker) -> void
+{
+    auto load = 0.0; // Of the worst serving task, as a part of its target.
+    for (const auto &[ref, run] : worker.runs) {
+        const auto &step = stepOf(jobs_.at(ref.job), ref);
+        if (step.latencyTargetMs > 0 && !step.isFiller) {
+            load = std::max(load, static_cast<double>(run.usage)
+                                / static_cast<double>(step.latencyTargetMs));
+        }
+    }
+    for (auto &[ref, run] : worker.runs) {
+        if (!stepOf(jobs_.at(ref.job), ref).isFiller || run.isStopping || !run.isConfirmed) {
+            continue;
+        }
+        auto pace = run.pace;
+        if (load > 1.0) {
+            pace = 0;
+        } else if (load > kPaceDownAt) {
+            pace /= 2;
+        } else if (load < kPaceUpAt) {
+            pace = std::min(kFullPace, pace + kPaceStep);
+        }
+        if (pace != run.pace) {
+            run.pace = pace;
+            actions_.push_back(SendPace{worker.peer, {ref, run.run, pace, identity_.token}});
+        }
+    }
+}
+
+auto PoolScheduler::State::tickWorker(Moment now, Worker &worker) -> void
+{
+    const auto isSilent = worker.holdFailures > 0 || (!worker.isListed && !worker.isAsked);
+    if (!worker.runs.empty() && isSilent && now.steadyMs > lapsedBy(worker)) {
+        loseRuns(now, worker, "its lease has lapsed");
+    }
+    if (worker.peer.address.empty()) {
+        return;
+    }
+    auto due = std::vector<TaskRef>();
+    for (const auto &[ref, run] : worker.runs) {
+        const auto isOpen = run.isStopping ? !run.isStopAnswered : run.isSent && !run.isConfirmed;
+        if (isOpen && !run.isOrderOut && !run.isRestored && now.steadyMs >= run.retryAt) {
+            due.push_back(ref);
+        }
+    }
+    for (const auto &ref : due) {
+        auto &run = worker.runs.at(ref);
+        if (run.isStopping) {
+            sendStop(worker, ref, run);
+        } else if (now.steadyMs < termUntil_) {
+            sendStart(now, worker, ref, run);
+        }
+    }
+    const auto isWanted = !worker.runs.empty() || (worker.isListed && !worker.isAsked)
+        || worker.seenEnd > worker.recordedEnd || worker.holdFailures > 0;
+    if (!worker.isHoldOut && isWanted && now.steadyMs >= worker.nextHoldAt) {
+        sendHold(now, worker);
+    }
+}
+
+} // namespace peridotwalk
