--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -130,6 +130,14 @@
 
 auto PoolTask::onViewChanged() -> void
 {
+    const auto pools = static_cast<std::int64_t>(view_.catalog.activePools().size());
+    for (const auto &tenant : view_.catalog.rules().tenants) {
+        auto share = tenant.maximum;
+        share.cpu /= pools;
+        share.memoryMb /= pools;
+        share.accelerators /= pools;
+        setAllowance(tenant.name, share);
+    }
     if (scheduler_) {
         scheduler_->onViewChanged(readMoment());
         run();
