--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -6,8 +6,34 @@
 
 #pragma once
 
+#include "base/base.h"
+
 #include <msgpack.hpp>
 
+namespace peridotwalk {
+
+template <typename Value>
+auto packWire(const Value &value) -> std::string
+{
+    auto buffer = msgpack::sbuffer();
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+// Errors carry the step and the name of what was read.
+template <typename Value>
+auto unpackWire(std::string_view step, std::string_view name, std::string_view bytes)
+    -> absl::StatusOr<Value>
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
+    } catch (const std::exception &error) {
+        return makeError(absl::StatusCode::kDataLoss, step, name, error.what());
+    }
+}
+
+} // namespace peridotwalk
+
 // Packs a plain struct as an array of its fields.
 #define PERIDOTWALK_WIRE(Type, ...)                                                        \
     template <>                                                                            \
--- /dev/null
+++ b/src/coordinator/coordinator.h
@@ -0,0 +1,187 @@
+// What has to be decided across pools, by one node at a time: how much of each tenant's maximum a pool
+// may use, which machines are maintained now, and which move between pools. Pure.
+//
+// Owners of pools report to it a few times a second and get directions back. What a pool may use stays in
+// force while the coordinator is away, so a lost coordinator stops nothing but growth and machine work.
+//
+// Index of this file
+// [SECTION] Reports and directions
+// [SECTION] Quota ledger
+// [SECTION] Machine planner
+
+#pragma once
+
+#include "services/services.h"
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reports and directions
+//-----------------------------------------------------------------------------
+
+struct TenantReport {
+    std::string tenant;
+    ResourceSet allowance; // In force at the pool.
+    ResourceSet used;
+    ResourceSet wanted;    // Of tasks that could start now.
+};
+
+struct WorkerLoad {
+    std::string  id;
+    std::int64_t runs = 0;
+    std::int64_t lastingRuns = 0; // Of them, those that have to be moved elsewhere.
+    std::int64_t cpu = 0;         // In use by timed tasks.
+    bool         isCordoned = false;
+};
+
+struct PoolReport {
+    std::string               pool;
+    std::int64_t              token = 0; // Fencing token of the pool's owner.
+    std::vector<TenantReport> tenants;
+    std::vector<WorkerLoad>   workers;
+    ResourceSet               wanted;  // Of ready tasks without a worker.
+    ResourceSet               perWorker; // Capacity of a typical worker.
+};
+
+struct TenantGrant {
+    std::string tenant;
+    ResourceSet allowance;
+};
+
+struct PoolDirection {
+    std::int64_t             token = 0;
+    std::vector<TenantGrant> grants;
+    std::vector<std::string> cordoned; // All workers that get no new runs.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Quota ledger
+//-----------------------------------------------------------------------------
+
+// Splits each tenant's maximum between pools. The sum of what pools may hold never exceeds it: a pool's
+// part counts until the pool itself reports less.
+class QuotaLedger
+{
+public:
+    // Commands.
+    auto setPools(std::set<std::string> pools) -> void; // All that may use anything.
+    auto grant(const PoolReport &report, const Catalog &catalog) -> std::vector<TenantGrant>;
+
+    // Queries.
+    auto isComplete() const -> bool; // Every pool has reported: what is left over is known.
+
+private:
+    std::set<std::string>                                         pools_;
+    std::map<std::string, std::map<std::string, ResourceSet>>     held_; // By pool and tenant.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner
+//-----------------------------------------------------------------------------
+
+struct PlannerSettings {
+    TimeMs       holderGapMs = 3'000;  // A new holder leaves machines alone that long.
+    TimeMs       reportFreshMs = 700;  // Older reports don't show that a worker is vacant.
+    TimeMs       listGapMs = 500;      // Between two listings.
+    TimeMs       callRetryMs = 500;    // After a call without an answer, or a refusal.
+    TimeMs       settleMs = 6'000;     // A machine that was called counts as away until listed again.
+    TimeMs       surplusMs = 1'000;    // A pool's machine is idle that long before it moves away.
+    double       spareFactor = 1.15;   // Room kept over what a pool asks for.
+    std::int64_t minMachines = 3;      // Of each pool.
+    double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
+    bool         isMoving = true;      // Moves machines between pools.
+};
+
+struct ListMachines { };
+struct MoveMachine {
+    std::string machine;
+    std::string pool;
+};
+struct MaintainMachine {
+    std::string machine;
+    std::string wave;
+};
+struct WriteWaveState {
+    std::string wave;
+    bool        isCompleted = false;
+};
+using PlannerAction = std::variant<ListMachines, MoveMachine, MaintainMachine, WriteWaveState>;
+
+class MachinePlanner
+{
+public:
+    explicit MachinePlanner(const PlannerSettings &settings) : settings_(settings) { }
+
+    // Commands.
+    auto begin(TimeMs now) -> void; // This node has become the holder.
+    auto setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void;
+    auto setCatalog(const Catalog &catalog) -> void;
+    auto onReport(TimeMs now, const PoolReport &report) -> void;
+    auto onListed(TimeMs now, const std::vector<MachineEntry> &machines) -> void;
+    auto onListFailed(TimeMs now) -> void;
+    auto onMoved(TimeMs now, const MoveMachine &call, const MachineReply &reply) -> void;
+    auto onMaintained(TimeMs now, const MaintainMachine &call, const MachineReply &reply) -> void;
+    auto onWaveWritten(const WriteWaveState &call, CallOutcome outcome) -> void;
+    auto tick(TimeMs now) -> void;
+    auto takeActions() -> std::vector<PlannerAction>;
+
+    // Queries.
+    auto cordonedOf(std::string_view pool) const -> std::vector<std::string>;
+
+private:
+    struct Wave {
+        WaveOrder             order;
+        TimeMs                seenAt = 0;
+        std::set<std::string> done; // Maintained, or gone.
+        std::set<std::string> calling;
+        bool                  isRunningWritten = false;
+        bool                  isCompletedWritten = false;
+        bool                  isWriting = false;
+    };
+    struct Machine {
+        MachineEntry entry;
+        bool         isListed = false;
+        bool         isCalling = false;  // A call is under way.
+        TimeMs       awayUntil = 0;      // It was called, and isn't known to be back.
+        bool         wasSeenAway = false; // Listed as away since it was called.
+        std::string  calledWorker;       // Its worker at the time of the call.
+        TimeMs       retryAt = 0;
+        TimeMs       idleSince = -1;
+        std::string  wantedPool;         // It is being emptied to move there.
+        std::string  wantedWave;         // It is being emptied for maintenance.
+        std::set<std::string> refusedPools;
+    };
+    struct Pool {
+        PoolReport                        report;
+        std::map<std::string, WorkerLoad> workers;
+        TimeMs                            reportedAt = -1;
+        TimeMs                            ownerSince = 0;
+    };
+
+    auto planWaves(TimeMs now) -> void;
+    auto planWave(TimeMs now, Wave &wave) -> void;
+    auto planMoves(TimeMs now) -> void;
+    auto callReady(TimeMs now) -> void;
+    auto isVacant(TimeMs now, const Machine &machine) const -> bool;
+    auto isEmptied(TimeMs now, const Machine &machine) const -> bool;
+    auto isAway(TimeMs now, const Machine &machine) const -> bool;
+    auto isStandby(std::string_view pool) const -> bool;
+    auto desiredMachines(const Pool &pool) const -> std::int64_t;
+    auto countCordoned(std::string_view pool) const -> std::int64_t;
+    auto countMachines(std::string_view pool) const -> std::int64_t;
+    auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
+
+    PlannerSettings                          settings_;
+    TimeMs                                   heldSince_ = 0;
+    TimeMs                                   listAt_ = 0;
+    bool                                     isListing_ = false;
+    bool                                     hasList_ = false;
+    std::map<std::string, Wave>              waves_;
+    std::map<std::string, Machine>           machines_;
+    std::map<std::string, Pool, std::less<>> pools_;
+    std::set<std::string, std::less<>>       standby_;
+    std::set<std::string, std::less<>>       active_;
+    std::vector<PlannerAction>               actions_;
+};
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/coordinator/machines.cpp
@@ -0,0 +1,426 @@
+#include "coordinator/coordinator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner
+//-----------------------------------------------------------------------------
+
+// Another holder may have called machines until just now.
+auto MachinePlanner::begin(TimeMs now) -> void
+{
+    heldSince_ = now;
+    hasList_ = false;
+}
+
+auto MachinePlanner::setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void
+{
+    std::erase_if(waves_, [&](const auto &item) { return !waves.contains(item.first); });
+    for (const auto &[name, order] : waves) {
+        auto [found, isNew] = waves_.try_emplace(name);
+        if (isNew) {
+            found->second.seenAt = now;
+        }
+        if (isNew || found->second.order.machines != order.machines) {
+            found->second.isCompletedWritten = false;
+        }
+        found->second.order = order;
+    }
+}
+
+auto MachinePlanner::setCatalog(const Catalog &catalog) -> void
+{
+    standby_.clear();
+    active_.clear();
+    for (const auto &pool : catalog.rules().pools) {
+        if (pool.isStandby) {
+            standby_.insert(pool.name);
+        }
+    }
+    for (auto &pool : catalog.activePools()) {
+        active_.insert(pool);
+    }
+}
+
+auto MachinePlanner::onReport(TimeMs now, const PoolReport &report) -> void
+{
+    auto &pool = pools_[report.pool];
+    if (pool.report.token != report.token) {
+        pool.ownerSince = now;
+    }
+    pool.report = report;
+    pool.reportedAt = now;
+    pool.workers.clear();
+    for (const auto &worker : report.workers) {
+        pool.workers[worker.id] = worker;
+    }
+}
+
+auto MachinePlanner::onListed(TimeMs now, const std::vector<MachineEntry> &machines) -> void
+{
+    isListing_ = false;
+    hasList_ = true;
+    listAt_ = now + settings_.listGapMs;
+    for (auto &[name, machine] : machines_) {
+        machine.isListed = false;
+    }
+    for (const auto &entry : machines) {
+        auto &machine = machines_[entry.name];
+        machine.entry = entry;
+        machine.isListed = true;
+        if (entry.state != MachineState::Up) {
+            machine.wasSeenAway = true;
+        }
+        const auto isNewLife = !entry.worker.empty() && entry.worker != machine.calledWorker;
+        const auto isBack =
+            entry.state == MachineState::Up && (machine.wasSeenAway || isNewLife);
+        if (isBack && !machine.isCalling) {
+            machine.awayUntil = 0;
+        }
+    }
+}
+
+auto MachinePlanner::onListFailed(TimeMs now) -> void
+{
+    isListing_ = false;
+    listAt_ = now + settings_.listGapMs;
+}
+
+auto MachinePlanner::onMoved(TimeMs now, const MoveMachine &call, const MachineReply &reply) -> void
+{
+    auto &machine = machines_[call.machine];
+    machine.isCalling = false;
+    if (reply.outcome == CallOutcome::Done || reply.outcome == CallOutcome::Unknown) {
+        machine.awayUntil = now + settings_.settleMs;
+        machine.wantedPool.clear();
+        listAt_ = std::min(listAt_, now + settings_.listGapMs);
+        return;
+    }
+    machine.awayUntil = 0;
+    machine.retryAt = now + settings_.callRetryMs;
+    machine.wantedPool.clear();
+    if (reply.refusal == MachineRefusal::Invalid) {
+        machine.refusedPools.insert(call.pool);
+    }
+}
+
+auto MachinePlanner::onMaintained(TimeMs now, const MaintainMachine &call,
+                                  const MachineReply &reply) -> void
+{
+    auto &machine = machines_[call.machine];
+    machine.isCalling = false;
+    const auto found = waves_.find(call.wave);
+    if (found != waves_.end()) {
+        found->second.calling.erase(call.machine);
+    }
+    if (reply.outcome == CallOutcome::Refused) {
+        machine.awayUntil = 0;
+        machine.retryAt = now + settings_.callRetryMs;
+    } else {
+        machine.awayUntil = now + settings_.settleMs;
+        machine.retryAt = now + settings_.callRetryMs;
+    }
+    const auto isGone = reply.outcome == CallOutcome::Refused
+        && (reply.refusal == MachineRefusal::Invalid || reply.refusal == MachineRefusal::WrongWave);
+    if (reply.outcome == CallOutcome::Done || isGone) {
+        machine.wantedWave.clear();
+        if (found != waves_.end()) {
+            found->second.done.insert(call.machine);
+        }
+    }
+}
+
+auto MachinePlanner::onWaveWritten(const WriteWaveState &call, CallOutcome outcome) -> void
+{
+    const auto found = waves_.find(call.wave);
+    if (found == waves_.end()) {
+        return;
+    }
+    found->second.isWriting = false;
+    if (outcome == CallOutcome::Done) {
+        found->second.isRunningWritten = true;
+        found->second.isCompletedWritten = call.isCompleted;
+    }
+}
+
+auto MachinePlanner::takeActions() -> std::vector<PlannerAction>
+{
+    return std::exchange(actions_, {});
+}
+
+auto MachinePlanner::tick(TimeMs now) -> void
+{
+    const auto isNeeded = settings_.isMoving || std::ranges::any_of(waves_, [](const auto &item) {
+        return !item.second.isCompletedWritten;
+    });
+    if (!isListing_ && isNeeded && now >= listAt_) {
+        isListing_ = true;
+        actions_.push_back(ListMachines{});
+    }
+    if (!hasList_ || now - heldSince_ < settings_.holderGapMs) {
+        return;
+    }
+    planWaves(now);
+    if (settings_.isMoving) {
+        planMoves(now);
+    }
+    callReady(now);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner: maintenance
+//-----------------------------------------------------------------------------
+
+auto MachinePlanner::planWaves(TimeMs now) -> void
+{
+    for (auto &[name, wave] : waves_) {
+        if (!wave.isCompletedWritten) {
+            planWave(now, wave);
+        }
+    }
+}
+
+// Chooses machines to empty next: those without runs first, and never too many of one pool.
+auto MachinePlanner::planWave(TimeMs now, Wave &wave) -> void
+{
+    std::int64_t busy = 0;
+    auto         waiting = std::vector<Machine *>();
+    auto         isDone = true;
+    for (const auto &name : wave.order.machines) {
+        auto      &machine = machines_[name];
+        const auto isOver = wave.done.contains(name);
+        isDone = isDone && isOver;
+        const auto isTaken = machine.wantedWave == wave.order.name;
+        busy += isTaken || isAway(now, machine) ? 1 : 0;
+        if (isOver) {
+            continue;
+        }
+        if (!machine.isListed) {
+            machine.entry.name = name;
+        }
+        if (!isTaken && machine.wantedWave.empty() && !isAway(now, machine)) {
+            waiting.push_back(&machine);
+        }
+    }
+    if (isDone && !wave.isWriting) {
+        wave.isWriting = true;
+        actions_.push_back(WriteWaveState{wave.order.name, true});
+        return;
+    }
+    if (!wave.isRunningWritten && !wave.isWriting) {
+        wave.isWriting = true;
+        actions_.push_back(WriteWaveState{wave.order.name, false});
+    }
+    const auto runsOf = [&](const Machine *machine) {
+        const auto pool = pools_.find(machine->entry.pool);
+        if (pool == pools_.end()) {
+            return std::int64_t{-1};
+        }
+        const auto worker = pool->second.workers.find(machine->entry.worker);
+        return worker == pool->second.workers.end() ? -1 : worker->second.runs;
+    };
+    std::ranges::sort(waiting, {}, runsOf);
+    for (auto *machine : waiting) {
+        if (busy >= wave.order.maxAtOnce) {
+            return;
+        }
+        const auto &pool = machine->entry.pool;
+        const auto  most = std::max<std::int64_t>(
+            1, static_cast<std::int64_t>(settings_.maxCordoned
+                                         * static_cast<double>(countMachines(pool))));
+        if (!isStandby(pool) && machine->isListed && countCordoned(pool) >= most) {
+            continue;
+        }
+        machine->wantedWave = wave.order.name;
+        machine->wantedPool.clear();
+        ++busy;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner: moves
+//-----------------------------------------------------------------------------
+
+auto MachinePlanner::desiredMachines(const Pool &pool) const -> std::int64_t
+{
+    auto         need = pool.report.wanted;
+    std::int64_t lasting = 0;
+    for (const auto &[id, worker] : pool.workers) {
+        need.cpu += worker.cpu;
+        lasting += worker.lastingRuns > 0 ? 1 : 0;
+    }
+    const auto &unit = pool.report.perWorker;
+    if (unit.cpu <= 0 || unit.memoryMb <= 0) {
+        return settings_.minMachines;
+    }
+    const auto byCpu = static_cast<double>(need.cpu) / static_cast<double>(unit.cpu);
+    const auto byMemory =
+        static_cast<double>(pool.report.wanted.memoryMb) / static_cast<double>(unit.memoryMb);
+    const auto timed =
+        static_cast<std::int64_t>(std::ceil(std::max(byCpu, byMemory) * settings_.spareFactor));
+    return std::max({settings_.minMachines, timed, lasting});
+}
+
+// Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
+auto MachinePlanner::planMoves(TimeMs now) -> void
+{
+    auto idle = std::vector<Machine *>(); // Free to go, best first.
+    auto surplus = std::map<std::string, std::int64_t>();
+    auto missing = std::map<std::string, std::int64_t>();
+    for (const auto &[name, pool] : pools_) {
+        if (!active_.contains(name) || now - pool.reportedAt > settings_.reportFreshMs) {
+            continue;
+        }
+        const auto have = countMachines(name);
+        const auto desired = desiredMachines(pool);
+        if (have < desired) {
+            missing[name] = desired - have;
+        } else {
+            surplus[name] = have - desired;
+        }
+    }
+    for (auto &[name, machine] : machines_) {
+        const auto isFree = machine.isListed && machine.entry.state == MachineState::Up
+            && !machine.isCalling && machine.wantedWave.empty() && machine.wantedPool.empty()
+            && now >= machine.retryAt && !isAway(now, machine);
+        const auto isIdle = isFree && (isStandby(machine.entry.pool) || isVacant(now, machine));
+        if (!isIdle) {
+            machine.idleSince = -1;
+            continue;
+        }
+        if (machine.idleSince < 0) {
+            machine.idleSince = now;
+        }
+        const auto isRested =
+            isStandby(machine.entry.pool) || now - machine.idleSince >= settings_.surplusMs;
+        if (isRested) {
+            idle.push_back(&machine);
+        }
+    }
+    std::ranges::sort(idle, {}, [&](const Machine *machine) {
+        return !isStandby(machine->entry.pool);
+    });
+    for (auto *machine : idle) {
+        const auto from = machine->entry.pool;
+        const auto needy = std::ranges::max_element(
+            missing, {}, [](const auto &item) { return item.second; });
+        const auto isStandingBy = isStandby(from);
+        if (!isStandingBy && surplus[from] <= 0) {
+            continue;
+        }
+        if (needy != missing.end() && needy->second > 0
+            && !machine->refusedPools.contains(needy->first)) {
+            machine->wantedPool = needy->first;
+            --needy->second;
+        } else if (!isStandingBy && !standby_.empty()
+                   && !machine->refusedPools.contains(*standby_.begin())) {
+            machine->wantedPool = *standby_.begin();
+        } else {
+            continue;
+        }
+        if (!isStandingBy) {
+            --surplus[from];
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner: calls
+//-----------------------------------------------------------------------------
+
+auto MachinePlanner::callReady(TimeMs now) -> void
+{
+    for (auto &[name, machine] : machines_) {
+        const auto isWanted = !machine.wantedPool.empty() || !machine.wantedWave.empty();
+        if (isWanted && !machine.isCalling && now >= machine.retryAt && !isAway(now, machine)
+            && isEmptied(now, machine)) {
+            callMachine(now, name, machine);
+        }
+    }
+}
+
+auto MachinePlanner::callMachine(TimeMs now, const std::string &name, Machine &machine) -> void
+{
+    machine.isCalling = true;
+    machine.wasSeenAway = false;
+    machine.awayUntil = now + settings_.settleMs;
+    machine.calledWorker = machine.entry.worker;
+    if (!machine.wantedWave.empty()) {
+        waves_[machine.wantedWave].calling.insert(name);
+        actions_.push_back(MaintainMachine{name, machine.wantedWave});
+    } else {
+        actions_.push_back(MoveMachine{name, machine.wantedPool});
+    }
+}
+
+// Nothing runs on the machine, and nothing will start there.
+auto MachinePlanner::isEmptied(TimeMs now, const Machine &machine) const -> bool
+{
+    if (!machine.isListed || isStandby(machine.entry.pool)
+        || machine.entry.state != MachineState::Up) {
+        return true;
+    }
+    if (!isVacant(now, machine)) {
+        return false;
+    }
+    return pools_.at(machine.entry.pool).workers.at(machine.entry.worker).isCordoned;
+}
+
+// A fresh report of the pool's owner shows nothing there, and the owner isn't a new one that doesn't know
+// of the cordon yet.
+auto MachinePlanner::isVacant(TimeMs now, const Machine &machine) const -> bool
+{
+    const auto pool = pools_.find(machine.entry.pool);
+    if (pool == pools_.end() || now - pool->second.reportedAt > settings_.reportFreshMs
+        || now - pool->second.ownerSince < settings_.reportFreshMs) {
+        return false;
+    }
+    const auto worker = pool->second.workers.find(machine.entry.worker);
+    return worker != pool->second.workers.end() && worker->second.runs == 0;
+}
+
+auto MachinePlanner::isAway(TimeMs now, const Machine &machine) const -> bool
+{
+    return now < machine.awayUntil || machine.entry.state == MachineState::Maintenance
+        || machine.entry.state == MachineState::Moving;
+}
+
+auto MachinePlanner::isStandby(std::string_view pool) const -> bool
+{
+    return standby_.contains(pool);
+}
+
+auto MachinePlanner::countMachines(std::string_view pool) const -> std::int64_t
+{
+    return std::ranges::count_if(machines_, [&](const auto &item) {
+        const auto &machine = item.second;
+        const auto  isComing = machine.wantedPool == pool;
+        const auto  isHere = machine.isListed && machine.entry.pool == pool
+            && machine.entry.state != MachineState::Down && machine.wantedPool.empty();
+        return isComing || isHere;
+    });
+}
+
+auto MachinePlanner::countCordoned(std::string_view pool) const -> std::int64_t
+{
+    return std::ranges::count_if(machines_, [&](const auto &item) {
+        return item.second.entry.pool == pool && !item.second.wantedWave.empty();
+    });
+}
+
+auto MachinePlanner::cordonedOf(std::string_view pool) const -> std::vector<std::string>
+{
+    auto workers = std::vector<std::string>();
+    for (const auto &[name, machine] : machines_) {
+        const auto isWanted = !machine.wantedPool.empty() || !machine.wantedWave.empty();
+        if (machine.entry.pool == pool && isWanted && !machine.entry.worker.empty()) {
+            workers.push_back(machine.entry.worker);
+        }
+    }
+    return workers;
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/src/coordinator/quota.cpp
@@ -0,0 +1,83 @@
+#include "coordinator/coordinator.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+// Part of a tenant's maximum that a pool keeps over its need, so that small steps don't wait for a
+// round trip.
+constexpr std::int64_t kHeadroomDivisor = 16;
+
+auto grantAmount(std::int64_t maximum, std::int64_t others, std::int64_t held, std::int64_t used,
+                 std::int64_t wanted, bool mayGrow) -> std::int64_t
+{
+    if (maximum == 0) {
+        return 0; // No limit. The pool doesn't look at it.
+    }
+    const auto wish = std::min(maximum, used + wanted + maximum / kHeadroomDivisor);
+    if (!mayGrow) {
+        return std::min(held, std::max(wish, used));
+    }
+    return std::max(std::min(wish, maximum - others), std::min(held, used));
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Quota ledger
+//-----------------------------------------------------------------------------
+
+auto QuotaLedger::setPools(std::set<std::string> pools) -> void
+{
+    pools_ = std::move(pools);
+}
+
+auto QuotaLedger::isComplete() const -> bool
+{
+    return std::ranges::all_of(pools_, [&](const auto &pool) { return held_.contains(pool); });
+}
+
+auto QuotaLedger::grant(const PoolReport &report, const Catalog &catalog)
+    -> std::vector<TenantGrant>
+{
+    auto &mine = held_[report.pool];
+    for (const auto &tenant : report.tenants) {
+        mine[tenant.tenant] = {std::max(tenant.allowance.cpu, tenant.used.cpu),
+                               std::max(tenant.allowance.memoryMb, tenant.used.memoryMb),
+                               std::max(tenant.allowance.accelerators, tenant.used.accelerators)};
+    }
+    const auto mayGrow = isComplete();
+    auto       grants = std::vector<TenantGrant>();
+    for (const auto &tenant : report.tenants) {
+        const auto *rule = catalog.tenant(tenant.tenant);
+        if (rule == nullptr) {
+            continue;
+        }
+        auto others = ResourceSet{};
+        for (const auto &[pool, held] : held_) {
+            const auto found = held.find(tenant.tenant);
+            if (pool != report.pool && found != held.end()) {
+                others += found->second;
+            }
+        }
+        const auto &held = tenant.allowance;
+        auto        amount = ResourceSet{};
+        amount.cpu = grantAmount(rule->maximum.cpu, others.cpu, held.cpu, tenant.used.cpu,
+                                 tenant.wanted.cpu, mayGrow);
+        amount.memoryMb = grantAmount(rule->maximum.memoryMb, others.memoryMb, held.memoryMb,
+                                      tenant.used.memoryMb, tenant.wanted.memoryMb, mayGrow);
+        amount.accelerators =
+            grantAmount(rule->maximum.accelerators, others.accelerators, held.accelerators,
+                        tenant.used.accelerators, tenant.wanted.accelerators, mayGrow);
+        auto &counted = mine[tenant.tenant];
+        counted.cpu = std::max(counted.cpu, amount.cpu);
+        counted.memoryMb = std::max(counted.memoryMb, amount.memoryMb);
+        counted.accelerators = std::max(counted.accelerators, amount.accelerators);
+        grants.push_back({tenant.tenant, amount});
+    }
+    return grants;
+}
+
+} // namespace peridotwalk
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -1,6 +1,6 @@
 #include "journal/journal.h"
 
-#include "base/wire.h"
+#include "jobs/jobs_wire.h"
 
 namespace peridotwalk {
 
@@ -36,13 +36,6 @@
 {
     namespace adaptor {
 
-    PERIDOTWALK_WIRE(ResourceSet, v.cpu, v.memoryMb, v.accelerators)
-    PERIDOTWALK_WIRE(StepSpec, v.count, v.need, v.estimateMs, v.after, v.requiredLabel,
-                     v.preferredRack, v.image, v.maxPerWorker, v.maxUnavailable, v.latencyTargetMs,
-                     v.isGang, v.isSameRack, v.isSpeculative, v.isLongRunning, v.isFiller,
-                     v.isCheckpointing)
-    PERIDOTWALK_WIRE(JobSpec, v.id, v.queue, v.pool, v.tenant, v.payload, v.steps, v.occurrences,
-                     v.startAtMs, v.intervalMs)
     PERIDOTWALK_WIRE(TaskRow, v.occurrence, v.step, v.index, v.run, v.endedRun, v.failures,
                      v.isDone, v.checkpoint, v.worker)
     PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
@@ -59,25 +52,6 @@
 constexpr char kSpecPrefix = 'j';
 constexpr char kProgressPrefix = 'p';
 
-template <typename Value>
-auto packValue(const Value &value) -> std::string
-{
-    auto buffer = msgpack::sbuffer();
-    msgpack::pack(buffer, value);
-    return {buffer.data(), buffer.size()};
-}
-
-template <typename Value>
-auto unpackValue(std::string_view step, std::string_view name, std::string_view bytes)
-    -> absl::StatusOr<Value>
-{
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
-    } catch (const std::exception &error) {
-        return makeError(absl::StatusCode::kDataLoss, step, name, error.what());
-    }
-}
-
 auto isUntouched(const JobTask &task) -> bool
 {
     return task.run == 0 && task.endedRun == 0 && !task.isDone;
@@ -150,7 +124,7 @@
 
 auto encodeJob(const Job &job) -> KeyedRecord
 {
-    return {kSpecPrefix + job.spec.id, packValue(JobRow{job.spec, job.acceptedAtMs})};
+    return {kSpecPrefix + job.spec.id, packWire(JobRow{job.spec, job.acceptedAtMs})};
 }
 
 auto encodeProgress(const Job &job) -> KeyedRecord
@@ -165,7 +139,7 @@
             appendRows(occurrence, number, row.tasks);
         }
     }
-    return {kProgressPrefix + job.spec.id, packValue(row)};
+    return {kProgressPrefix + job.spec.id, packWire(row)};
 }
 
 auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs
@@ -175,7 +149,7 @@
         if (record.key.empty() || record.key[0] != kSpecPrefix || record.value.empty()) {
             continue;
         }
-        auto row = unpackValue<JobRow>("journal.restore", record.key, record.value);
+        auto row = unpackWire<JobRow>("journal.restore", record.key, record.value);
         if (!row.ok()) {
             restored.errors.push_back(row.status());
             continue;
@@ -189,7 +163,7 @@
             continue;
         }
         const auto found = restored.jobs.find(std::string_view(record.key).substr(1));
-        auto       row = unpackValue<ProgressRow>("journal.restore", record.key, record.value);
+        auto       row = unpackWire<ProgressRow>("journal.restore", record.key, record.value);
         if (!row.ok() || found == restored.jobs.end()) {
             restored.errors.push_back(row.ok() ? makeError(absl::StatusCode::kDataLoss,
                                                            "journal.restore", record.key,
@@ -202,14 +176,4 @@
     return restored;
 }
 
-auto packJobSpec(const JobSpec &spec) -> std::string
-{
-    return packValue(spec);
-}
-
-auto unpackJobSpec(std::string_view bytes) -> absl::StatusOr<JobSpec>
-{
-    return unpackValue<JobSpec>("peer.job", "peer", bytes);
-}
-
 } // namespace peridotwalk
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -27,8 +27,4 @@
 };
 auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs;
 
-// Shapes for messages between entries.
-auto packJobSpec(const JobSpec &spec) -> std::string;
-auto unpackJobSpec(std::string_view bytes) -> absl::StatusOr<JobSpec>;
-
 } // namespace peridotwalk
--- /dev/null
+++ b/src/node/coordinator_task.cpp
@@ -0,0 +1,203 @@
+#include "node/node_internal.h"
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kTickMs = 100;
+constexpr int    kHttpOk = 200;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Coordinator task
+//-----------------------------------------------------------------------------
+
+CoordinatorTask::CoordinatorTask(EventLoop &loop, MachineService &machines,
+                                 Directory &directoryService, const NodeSettings &settings,
+                                 DirectoryTask &directory, OwnershipTask &ownership)
+    : loop_(loop), machines_(machines), directoryService_(directoryService), settings_(settings),
+      directory_(directory), ownership_(ownership),
+      timer_(std::make_unique<Timer>(loop, kTickMs, [this] { tick(); }))
+{
+    ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
+}
+
+auto CoordinatorTask::refresh() -> void
+{
+    const auto &tokens = ownership_.ownership().tokens();
+    const auto  found = tokens.find(partitionOf(kCoordinatorName, settings_.ownership.partitions));
+    if (found == tokens.end()) {
+        if (duty_ != nullptr) {
+            logEvent(LogLevel::Info, "coordinator.released", {{"token", duty_->token}});
+        }
+        duty_.reset();
+        return;
+    }
+    if (duty_ != nullptr && duty_->token == found->second) {
+        return;
+    }
+    duty_ = std::make_shared<Duty>(
+        Duty{found->second, QuotaLedger(), MachinePlanner(settings_.planner)});
+    duty_->planner.begin(bootMs());
+    logEvent(LogLevel::Info, "coordinator.held", {{"token", duty_->token}});
+}
+
+auto CoordinatorTask::isInTerm() const -> bool
+{
+    return duty_ != nullptr && bootMs() < ownership_.ownership().termUntil();
+}
+
+auto CoordinatorTask::handle(const PoolReport &report) -> std::optional<PoolDirection>
+{
+    if (!isInTerm() || !directory_.hasCatalog()) {
+        return std::nullopt;
+    }
+    const auto &catalog = directory_.view().catalog;
+    const auto  pools = catalog.activePools();
+    duty_->ledger.setPools({pools.begin(), pools.end()});
+    duty_->planner.onReport(bootMs(), report);
+    return PoolDirection{duty_->token, duty_->ledger.grant(report, catalog),
+                         duty_->planner.cordonedOf(report.pool)};
+}
+
+auto CoordinatorTask::tick() -> void
+{
+    if (!isInTerm() || !directory_.hasCatalog() || settings_.platform.machines.empty()) {
+        return;
+    }
+    auto &planner = duty_->planner;
+    planner.setCatalog(directory_.view().catalog);
+    planner.setWaves(bootMs(), directory_.view().waves);
+    planner.tick(bootMs());
+    for (const auto &action : planner.takeActions()) {
+        std::visit([this](const auto &one) { perform(one); }, action);
+    }
+}
+
+auto CoordinatorTask::perform(const ListMachines & /*action*/) -> void
+{
+    machines_.list([duty = duty_](const absl::StatusOr<std::vector<MachineEntry>> &machines) {
+        if (machines.ok()) {
+            duty->planner.onListed(bootMs(), *machines);
+        } else {
+            logEvent(LogLevel::Warning, "machines.list_failed",
+                     {{"error", machines.status().ToString()}});
+            duty->planner.onListFailed(bootMs());
+        }
+    });
+}
+
+auto CoordinatorTask::perform(const MoveMachine &action) -> void
+{
+    machines_.move(action.machine, action.pool, {settings_.name, duty_->token},
+                   [duty = duty_, action](const MachineReply &reply) {
+                       logEvent(LogLevel::Info, "machine.moved",
+                                {{"machine", action.machine},
+                                 {"pool", action.pool},
+                                 {"token", duty->token},
+                                 {"outcome", static_cast<int>(reply.outcome)},
+                                 {"refusal", static_cast<int>(reply.refusal)}});
+                       duty->planner.onMoved(bootMs(), action, reply);
+                   });
+}
+
+auto CoordinatorTask::perform(const MaintainMachine &action) -> void
+{
+    machines_.maintain(action.machine, action.wave, {settings_.name, duty_->token},
+                       [duty = duty_, action](const MachineReply &reply) {
+                           logEvent(LogLevel::Info, "machine.maintained",
+                                    {{"machine", action.machine},
+                                     {"wave", action.wave},
+                                     {"token", duty->token},
+                                     {"outcome", static_cast<int>(reply.outcome)},
+                                     {"refusal", static_cast<int>(reply.refusal)}});
+                           duty->planner.onMaintained(bootMs(), action, reply);
+                       });
+}
+
+auto CoordinatorTask::perform(const WriteWaveState &action) -> void
+{
+    directoryService_.writeWaveState(
+        action.wave, action.isCompleted, [duty = duty_, action](CallOutcome outcome) {
+            logEvent(LogLevel::Info, "wave.state",
+                     {{"wave", action.wave},
+                      {"completed", action.isCompleted},
+                      {"outcome", static_cast<int>(outcome)}});
+            duty->planner.onWaveWritten(action, outcome);
+        });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reporter task
+//-----------------------------------------------------------------------------
+
+ReporterTask::ReporterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
+                           PoolsTask &pools, CoordinatorTask &coordinator,
+                           OwnershipTask &ownership)
+    : loop_(loop), peers_(peers), settings_(settings), pools_(pools), coordinator_(coordinator),
+      ownership_(ownership),
+      timer_(std::make_unique<Timer>(loop, settings.reportMs, [this] { report(); }))
+{
+}
+
+auto ReporterTask::report() -> void
+{
+    for (auto &[name, pool] : pools_.pools()) {
+        if (pool->isReady() && !pool->isFenced() && !reporting_.contains(name)) {
+            reportPool(name, *pool);
+        }
+    }
+}
+
+// One report of a pool is under way at a time, so that each tells the allowance truly in force.
+auto ReporterTask::reportPool(const std::string &name, PoolTask &pool) -> void
+{
+    const auto report = pool.scheduler()->report();
+    const auto member = ownership_.memberOf(kCoordinatorName);
+    if (member == ownership_.member()) {
+        const auto direction = coordinator_.handle(report);
+        if (direction) {
+            onDirection(name, report.token, *direction);
+        }
+        return;
+    }
+    const auto address = addressOf(member);
+    if (address.empty()) {
+        ownership_.refreshOwners();
+        return;
+    }
+    reporting_.insert(name);
+    auto call = HttpCall{"POST", std::string(kCoordinatorPath),
+                         {{"Content-Type", "application/msgpack"}}, packReport(report),
+                         settings_.ownerCallMs};
+    peers_.request(address, std::move(call),
+                   [this, name, token = report.token](const HttpResult &result) {
+                       reporting_.erase(name);
+                       if (!result.isWhole || result.status != kHttpOk) {
+                           ownership_.refreshOwners();
+                           return;
+                       }
+                       const auto direction = unpackDirection(result.body);
+                       if (direction.ok()) {
+                           onDirection(name, token, *direction);
+                       } else {
+                           logEvent(LogLevel::Warning, "peer.bad_direction",
+                                    {{"error", direction.status().ToString()}});
+                       }
+                   });
+}
+
+auto ReporterTask::onDirection(const std::string &name, std::int64_t token,
+                               const PoolDirection &direction) -> void
+{
+    const auto found = pools_.pools().find(name);
+    const auto isCurrent = found != pools_.pools().end()
+        && found->second->identity().token == token && direction.token >= newestToken_;
+    if (isCurrent) {
+        newestToken_ = direction.token;
+        found->second->direct(direction);
+    }
+}
+
+} // namespace peridotwalk
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -1,35 +1,23 @@
 #include "node/node_internal.h"
 
-#include "base/wire.h"
+#include "jobs/jobs_wire.h"
 
-namespace peridotwalk {
-
-// JobSpec travels as the bytes of the journal's codec, so that its shape stands in one place.
-struct PoolCallRow {
-    std::int64_t verb = 0;
-    std::string  pool;
-    std::string  job;
-    std::string  queue;
-    std::string  spec;
-};
-
-struct PoolAnswerRow {
-    std::int64_t status = 0;
-    std::int64_t state = 0;
-    std::int64_t count = 0;
-    std::string  reason;
-    TimeMs       retryAfterMs = 0;
-};
-
-} // namespace peridotwalk
+MSGPACK_ADD_ENUM(peridotwalk::PoolVerb)
+MSGPACK_ADD_ENUM(peridotwalk::PoolStatus)
+MSGPACK_ADD_ENUM(peridotwalk::JobState)
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
     namespace adaptor {
 
-    PERIDOTWALK_WIRE(PoolCallRow, v.verb, v.pool, v.job, v.queue, v.spec)
-    PERIDOTWALK_WIRE(PoolAnswerRow, v.status, v.state, v.count, v.reason, v.retryAfterMs)
+    PERIDOTWALK_WIRE(PoolCall, v.verb, v.pool, v.job, v.queue, v.spec)
+    PERIDOTWALK_WIRE(PoolAnswer, v.status, v.state, v.count, v.reason, v.retryAfterMs)
+    PERIDOTWALK_WIRE(TenantReport, v.tenant, v.allowance, v.used, v.wanted)
+    PERIDOTWALK_WIRE(WorkerLoad, v.id, v.runs, v.lastingRuns, v.cpu, v.isCordoned)
+    PERIDOTWALK_WIRE(PoolReport, v.pool, v.token, v.tenants, v.workers, v.wanted, v.perWorker)
+    PERIDOTWALK_WIRE(TenantGrant, v.tenant, v.allowance)
+    PERIDOTWALK_WIRE(PoolDirection, v.token, v.grants, v.cordoned)
 
     } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE
@@ -37,71 +25,48 @@
 
 namespace peridotwalk {
 
-namespace {
+//-----------------------------------------------------------------------------
+// [SECTION] Messages between nodes
+//-----------------------------------------------------------------------------
 
-template <typename Value>
-auto packValue(const Value &value) -> std::string
+auto packCall(const PoolCall &call) -> std::string
 {
-    auto buffer = msgpack::sbuffer();
-    msgpack::pack(buffer, value);
-    return {buffer.data(), buffer.size()};
+    return packWire(call);
 }
 
-template <typename Value>
-auto unpackValue(std::string_view bytes) -> absl::StatusOr<Value>
+auto unpackCall(std::string_view bytes) -> absl::StatusOr<PoolCall>
 {
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
-    } catch (const std::exception &error) {
-        return makeError(absl::StatusCode::kInvalidArgument, "peer.message", "peer", error.what());
-    }
+    return unpackWire<PoolCall>("peer.call", "peer", bytes);
 }
 
-} // namespace
+auto packAnswer(const PoolAnswer &answer) -> std::string
+{
+    return packWire(answer);
+}
 
-//-----------------------------------------------------------------------------
-// [SECTION] Messages between nodes
-//-----------------------------------------------------------------------------
+auto unpackAnswer(std::string_view bytes) -> absl::StatusOr<PoolAnswer>
+{
+    return unpackWire<PoolAnswer>("peer.answer", "peer", bytes);
+}
 
-auto packCall(const PoolCall &call) -> std::string
+auto packReport(const PoolReport &report) -> std::string
 {
-    const auto isSubmit = call.verb == PoolVerb::Submit;
-    return packValue(PoolCallRow{static_cast<std::int64_t>(call.verb), call.pool, call.job,
-                                 call.queue, isSubmit ? packJobSpec(call.spec) : std::string()});
+    return packWire(report);
 }
 
-auto unpackCall(std::string_view bytes) -> absl::StatusOr<PoolCall>
+auto unpackReport(std::string_view bytes) -> absl::StatusOr<PoolReport>
 {
-    auto row = unpackValue<PoolCallRow>(bytes);
-    if (!row.ok()) {
-        return row.status();
-    }
-    auto call = PoolCall{static_cast<PoolVerb>(row->verb), row->pool, row->job, row->queue, {}};
-    if (call.verb == PoolVerb::Submit) {
-        auto spec = unpackJobSpec(row->spec);
-        if (!spec.ok()) {
-            return spec.status();
-        }
-        call.spec = *std::move(spec);
-    }
-    return call;
+    return unpackWire<PoolReport>("peer.report", "peer", bytes);
 }
 
-auto packAnswer(const PoolAnswer &answer) -> std::string
+auto packDirection(const PoolDirection &direction) -> std::string
 {
-    return packValue(PoolAnswerRow{static_cast<std::int64_t>(answer.status),
-                                   static_cast<std::int64_t>(answer.state), answer.count,
-                                   answer.reason, answer.retryAfterMs});
+    return packWire(direction);
 }
 
-auto unpackAnswer(std::string_view bytes) -> absl::StatusOr<PoolAnswer>
+auto unpackDirection(std::string_view bytes) -> absl::StatusOr<PoolDirection>
 {
-    auto row = unpackValue<PoolAnswerRow>(bytes);
-    if (!row.ok()) {
-        return row.status();
-    }
-    return PoolAnswer{static_cast<PoolStatus>(row->status), static_cast<JobState>(row->state),
-                      row->count, row->reason, row->retryAfterMs};
+    return unpackWire<PoolDirection>("peer.direction", "peer", bytes);
 }
 
 } // namespace peridotwalk
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -42,11 +42,14 @@
           group_(makeOwnershipGroup(connections_, settings_.platform)),
           directoryService_(makeDirectory(connections_, settings_.platform)),
           workers_(makeWorkerService(connections_, settings_.platform)),
+          machines_(makeMachineService(connections_, settings_.platform)),
           directory_(loop_, *directoryService_, settings_),
           ownership_(loop_, *group_, settings_, makeMember(settings_)),
           pools_(loop_, {*journal_, *workers_}, settings_, directory_, ownership_),
           router_(loop_, connections_, settings_, pools_, ownership_),
-          peers_(loop_, settings_, pools_),
+          coordinator_(loop_, *machines_, *directoryService_, settings_, directory_, ownership_),
+          reporter_(loop_, connections_, settings_, pools_, coordinator_, ownership_),
+          peers_(loop_, settings_, pools_, coordinator_),
           callers_(loop_, settings_, directory_, ownership_, router_)
     {
     }
@@ -123,10 +126,13 @@
     std::unique_ptr<OwnershipGroup> group_;
     std::unique_ptr<Directory>      directoryService_;
     std::unique_ptr<WorkerService>  workers_;
+    std::unique_ptr<MachineService> machines_;
     DirectoryTask                   directory_;
     OwnershipTask                   ownership_;
     PoolsTask                       pools_;
     RouterTask                      router_;
+    CoordinatorTask                 coordinator_;
+    ReporterTask                    reporter_;
     PeerServerTask                  peers_;
     JobCallerTask                   callers_;
     std::unique_ptr<Timer>          stopTimer_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,7 @@
     PlatformAddresses platform;
     OwnershipSettings ownership;
     PoolSettings      pool;
+    PlannerSettings   planner;
     TimeMs            tickMs = 20;           // Retries, batches and due occurrences.
     TimeMs            workersPollMs = 400;   // Reading of workers' reports.
     TimeMs            callBudgetMs = 3'000;  // Of callers that name none.
@@ -41,7 +42,7 @@
     TimeMs            ownerCallMs = 1'000;   // A try that takes longer has an unknown outcome.
     TimeMs            stopLingerMs = 3'500;  // After a planned stop callers are served on that long.
     TimeMs            retryAfterMs = 1'000;  // Told to callers that are refused.
-    TimeMs            holderGapMs = 3'000;   // Between two holders of a machine.
+    TimeMs            reportMs = 200;        // Owners report to the coordinator that often.
     std::int64_t      maxHeaderBytes = 16'384;
     std::int64_t      maxBodyBytes = 262'144;
     LogLevel          logLevel = LogLevel::Info;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,6 +8,7 @@
 // [SECTION] Ownership task
 // [SECTION] Pool task
 // [SECTION] Router task
+// [SECTION] Coordinator task
 // [SECTION] Peer task
 // [SECTION] Caller task
 
@@ -62,6 +63,19 @@
 auto unpackCall(std::string_view bytes) -> absl::StatusOr<PoolCall>;
 auto packAnswer(const PoolAnswer &answer) -> std::string;
 auto unpackAnswer(std::string_view bytes) -> absl::StatusOr<PoolAnswer>;
+auto packReport(const PoolReport &report) -> std::string;
+auto unpackReport(std::string_view bytes) -> absl::StatusOr<PoolReport>;
+auto packDirection(const PoolDirection &direction) -> std::string;
+auto unpackDirection(std::string_view bytes) -> absl::StatusOr<PoolDirection>;
+
+constexpr std::string_view kPoolsPath = "/v1/pools";
+constexpr std::string_view kCoordinatorPath = "/v1/coordinator";
+
+// The coordinator owns the partition of this name, as an owner owns that of its pool.
+constexpr std::string_view kCoordinatorName = "coordinator";
+
+// Returns the address in a member's name, NODE@ADDRESS#LIFE. Empty if there is none.
+auto addressOf(std::string_view member) -> std::string;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Directory task
@@ -158,8 +172,8 @@
     auto setTerm(TimeMs untilMs) -> void;
     auto onViewChanged() -> void;
     auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
-    auto tick() -> void;
-    auto setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void;
+    auto tick() -> void { run(); }
+    auto direct(const PoolDirection &direction) -> void;
 
     auto isReady() const -> bool { return scheduler_ != nullptr; }
     auto isFenced() const -> bool { return isFenced_ || (scheduler_ && scheduler_->isFenced()); }
@@ -191,7 +205,6 @@
     std::unique_ptr<PoolScheduler>         scheduler_; // Nothing until the journal was read.
     std::int64_t                           lastHandle_ = 0;
     std::map<std::int64_t, PoolAnswerSlot> callers_;
-    std::map<std::string, ResourceSet>       allowances_;
     bool                                   isRunning_ = false;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true); // False: late answers go nowhere.
 };
@@ -253,6 +266,70 @@
     OwnershipTask      &ownership_;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Coordinator task
+//-----------------------------------------------------------------------------
+
+// Coordinates all pools while this node holds that duty.
+class CoordinatorTask
+{
+public:
+    CoordinatorTask(EventLoop &loop, MachineService &machines, Directory &directoryService,
+                    const NodeSettings &settings, DirectoryTask &directory,
+                    OwnershipTask &ownership);
+
+    // Returns nothing if another node is the coordinator.
+    auto handle(const PoolReport &report) -> std::optional<PoolDirection>;
+
+private:
+    struct Duty {
+        std::int64_t   token = 0;
+        QuotaLedger    ledger;
+        MachinePlanner planner;
+    };
+
+    auto refresh() -> void;
+    auto tick() -> void;
+    auto isInTerm() const -> bool;
+    auto perform(const ListMachines &action) -> void;
+    auto perform(const MoveMachine &action) -> void;
+    auto perform(const MaintainMachine &action) -> void;
+    auto perform(const WriteWaveState &action) -> void;
+
+    EventLoop            &loop_;
+    MachineService       &machines_;
+    Directory            &directoryService_;
+    const NodeSettings   &settings_;
+    DirectoryTask        &directory_;
+    OwnershipTask        &ownership_;
+    std::shared_ptr<Duty> duty_; // Nothing: another node has it. Calls under way keep the old one.
+    std::unique_ptr<Timer> timer_;
+};
+
+// Reports on the pools owned here, and passes directions on to them.
+class ReporterTask
+{
+public:
+    ReporterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
+                 PoolsTask &pools, CoordinatorTask &coordinator, OwnershipTask &ownership);
+
+private:
+    auto report() -> void;
+    auto reportPool(const std::string &name, PoolTask &pool) -> void;
+    auto onDirection(const std::string &name, std::int64_t token, const PoolDirection &direction)
+        -> void;
+
+    EventLoop             &loop_;
+    ConnectionPool        &peers_;
+    const NodeSettings    &settings_;
+    PoolsTask             &pools_;
+    CoordinatorTask       &coordinator_;
+    OwnershipTask         &ownership_;
+    std::set<std::string>  reporting_; // Pools whose report waits for its answer.
+    std::int64_t           newestToken_ = 0;
+    std::unique_ptr<Timer> timer_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peer task
 //-----------------------------------------------------------------------------
@@ -261,15 +338,20 @@
 class PeerServerTask
 {
 public:
-    PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools);
+    PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools,
+                   CoordinatorTask &coordinator);
 
     auto listen() -> absl::Status;
 
 private:
     auto onRequest(const HttpRequest &request) -> void;
+    auto onCall(const HttpRequest &request) -> void;
+    auto onReport(const HttpRequest &request) -> void;
+    auto refuse(const HttpRequest &request, const absl::Status &status) -> void;
 
     const NodeSettings &settings_;
     PoolsTask          &pools_;
+    CoordinatorTask    &coordinator_;
     HttpServer          server_;
 };
 
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -105,11 +105,8 @@
               {"took_ms", bootMs() - beganAt_}});
     scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
     scheduler_->setTerm(termUntil_);
-    for (const auto &[tenant, allowance] : allowances_) {
-        scheduler_->setAllowance(tenant, allowance);
-    }
     scheduler_->restore(readMoment(), std::move(restored.jobs));
-    tick();
+    run();
 }
 
 auto PoolTask::setTerm(TimeMs untilMs) -> void
@@ -120,24 +117,16 @@
     }
 }
 
-auto PoolTask::setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void
+auto PoolTask::direct(const PoolDirection &direction) -> void
 {
-    allowances_[tenant] = allowance;
     if (scheduler_) {
-        scheduler_->setAllowance(tenant, allowance);
+        scheduler_->direct(readMoment(), direction);
+        run();
     }
 }
 
 auto PoolTask::onViewChanged() -> void
 {
-    const auto pools = static_cast<std::int64_t>(view_.catalog.activePools().size());
-    for (const auto &tenant : view_.catalog.rules().tenants) {
-        auto share = tenant.maximum;
-        share.cpu /= pools;
-        share.memoryMb /= pools;
-        share.accelerators /= pools;
-        setAllowance(tenant.name, share);
-    }
     if (scheduler_) {
         scheduler_->onViewChanged(readMoment());
         run();
@@ -170,11 +159,6 @@
     run();
 }
 
-auto PoolTask::tick() -> void
-{
-    run();
-}
-
 // An answer that is there at once must not start a second round inside this one.
 auto PoolTask::run() -> void
 {
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -4,10 +4,14 @@
 
 namespace {
 
-constexpr std::string_view kPoolsPath = "/v1/pools";
-constexpr int              kHttpOk = 200;
+constexpr int kHttpOk = 200;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages between nodes
+//-----------------------------------------------------------------------------
 
-// A member's name is NODE@ADDRESS#LIFE.
 auto addressOf(std::string_view member) -> std::string
 {
     const auto at = member.find('@');
@@ -18,8 +22,6 @@
     return std::string(member.substr(at + 1, hash - at - 1));
 }
 
-} // namespace
-
 //-----------------------------------------------------------------------------
 // [SECTION] Router task
 //-----------------------------------------------------------------------------
@@ -92,9 +94,10 @@
 // [SECTION] Peer task
 //-----------------------------------------------------------------------------
 
-PeerServerTask::PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools)
-    : settings_(settings), pools_(pools), server_(loop, {settings.maxHeaderBytes,
-                                                        2 * settings.maxBodyBytes})
+PeerServerTask::PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools,
+                               CoordinatorTask &coordinator)
+    : settings_(settings), pools_(pools), coordinator_(coordinator),
+      server_(loop, {settings.maxHeaderBytes, 2 * settings.maxBodyBytes})
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
 }
@@ -106,12 +109,20 @@
 
 auto PeerServerTask::onRequest(const HttpRequest &request) -> void
 {
-    constexpr int kBadRequest = 400;
-    const auto    call = unpackCall(request.body);
-    if (request.path != kPoolsPath || !call.ok()) {
-        logEvent(LogLevel::Warning, "peer.bad_call",
-                 {{"path", request.path}, {"error", call.status().ToString()}});
-        server_.reply(request.id, {kBadRequest, "text/plain", "not a call\n", {}});
+    if (request.path == kPoolsPath) {
+        onCall(request);
+    } else if (request.path == kCoordinatorPath) {
+        onReport(request);
+    } else {
+        refuse(request, makeError(absl::StatusCode::kNotFound, "peer.path", "", request.path));
+    }
+}
+
+auto PeerServerTask::onCall(const HttpRequest &request) -> void
+{
+    const auto call = unpackCall(request.body);
+    if (!call.ok()) {
+        refuse(request, call.status());
         return;
     }
     pools_.handle(*call, [this, id = request.id](const PoolAnswer &answer) {
@@ -119,4 +130,28 @@
     });
 }
 
+auto PeerServerTask::onReport(const HttpRequest &request) -> void
+{
+    constexpr int kMisdirected = 421;
+    const auto    report = unpackReport(request.body);
+    if (!report.ok()) {
+        refuse(request, report.status());
+        return;
+    }
+    const auto direction = coordinator_.handle(*report);
+    if (direction) {
+        server_.reply(request.id, {kHttpOk, "application/msgpack", packDirection(*direction), {}});
+    } else {
+        server_.reply(request.id, {kMisdirected, "text/plain", "not the coordinator\n", {}});
+    }
+}
+
+auto PeerServerTask::refuse(const HttpRequest &request, const absl::Status &status) -> void
+{
+    constexpr int kBadRequest = 400;
+    logEvent(LogLevel::Warning, "peer.bad_call",
+             {{"path", request.path}, {"error", status.ToString()}});
+    server_.reply(request.id, {kBadRequest, "text/plain", "not a call\n", {}});
+}
+
 } // namespace peridotwalk
--- /dev/null
+++ b/src/pool/directions.cpp
@@ -0,0 +1,132 @@
+#include "pool/pool_internal.h"
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr std::int64_t kAtWorkPercent = 100; // A lasting task below that is still starting.
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Directions of the coordinator
+//-----------------------------------------------------------------------------
+
+auto PoolScheduler::State::direct(Moment now, const PoolDirection &direction) -> void
+{
+    for (const auto &grant : direction.grants) {
+        auto &held = allowances_[grant.tenant];
+        needsSchedule_ = needsSchedule_ || !(held == grant.allowance);
+        held = grant.allowance;
+    }
+    auto cordoned = std::map<std::string, TimeMs>();
+    for (const auto &id : direction.cordoned) {
+        const auto before = cordoned_.find(id);
+        cordoned[id] = before == cordoned_.end() ? now.steadyMs : before->second;
+    }
+    cordoned_ = std::move(cordoned);
+    for (auto &[id, worker] : workers_) {
+        const auto isCordoned = cordoned_.contains(id);
+        needsSchedule_ = needsSchedule_ || isCordoned != worker.isCordoned;
+        worker.isCordoned = isCordoned;
+    }
+}
+
+auto PoolScheduler::State::report() const -> PoolReport
+{
+    auto report = PoolReport{};
+    report.pool = identity_.pool;
+    report.token = identity_.token;
+    report.wanted = wanted_;
+    for (const auto &rule : view_.catalog.rules().tenants) {
+        auto row = TenantReport{rule.name, {}, {}, {}};
+        if (const auto held = allowances_.find(rule.name); held != allowances_.end()) {
+            row.allowance = held->second;
+        }
+        if (const auto used = tenantUsed_.find(rule.name); used != tenantUsed_.end()) {
+            row.used = used->second;
+        }
+        if (const auto wanted = tenantWanted_.find(rule.name); wanted != tenantWanted_.end()) {
+            row.wanted = wanted->second;
+        }
+        report.tenants.push_back(std::move(row));
+    }
+    for (const auto &[id, worker] : workers_) {
+        if (!worker.isListed) {
+            continue;
+        }
+        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, worker.isCordoned};
+        for (const auto &[ref, run] : worker.runs) {
+            const auto &step = stepOf(jobs_.at(ref.job), ref);
+            load.lastingRuns += step.isLongRunning ? 1 : 0;
+            load.cpu += step.isLongRunning ? 0 : run.need.cpu;
+        }
+        report.workers.push_back(load);
+        report.perWorker.cpu = std::max(report.perWorker.cpu, worker.report.capacity.cpu);
+        report.perWorker.memoryMb =
+            std::max(report.perWorker.memoryMb, worker.report.capacity.memoryMb);
+    }
+    return report;
+}
+
+// Moves lasting tasks off workers that are to be emptied, as far as the budgets of their steps allow.
+// Timed tasks run to their end, for a while.
+auto PoolScheduler::State::emptyCordoned(Moment now) -> void
+{
+    if (cordoned_.empty() || isFenced_ || now.steadyMs >= termUntil_) {
+        return;
+    }
+    for (const auto &[id, since] : cordoned_) {
+        const auto found = workers_.find(id);
+        if (found == workers_.end()) {
+            continue;
+        }
+        auto      &worker = found->second;
+        const auto isImpatient = now.steadyMs - since > settings_.cordonPatienceMs;
+        auto       leaving = std::vector<TaskRef>();
+        for (const auto &[ref, run] : worker.runs) {
+            const auto isLasting = stepOf(jobs_.at(ref.job), ref).isLongRunning;
+            if (!run.isStopping && run.isConfirmed && (isLasting || isImpatient)) {
+                leaving.push_back(ref);
+            }
+        }
+        for (const auto &ref : leaving) {
+            if (worker.runs.contains(ref) && mayTakeAway(ref)) {
+                note("run.moved", ref, worker.runs.at(ref).run, id, "the worker is emptied");
+                requestStop(now, worker, ref);
+            }
+        }
+    }
+}
+
+// Returns whether the step's budget allows to take this task away: so few others are away now. A lasting
+// task also needs another place.
+auto PoolScheduler::State::mayTakeAway(const TaskRef &ref) const -> bool
+{
+    const auto &entry = jobs_.at(ref.job);
+    const auto &step = stepOf(entry, ref);
+    if (!step.isLongRunning) {
+        return true;
+    }
+    const auto &tasks =
+        entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)];
+    std::int64_t away = 0;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (static_cast<std::int64_t>(index) == ref.index) {
+            continue;
+        }
+        const auto &task = tasks[index];
+        const auto  worker = workers_.find(task.worker);
+        const auto  other = TaskRef{ref.job, ref.occurrence, ref.step, static_cast<std::int64_t>(index)};
+        const auto  isAtWork = task.phase == RunPhase::Running && worker != workers_.end()
+            && worker->second.holdFailures == 0 && worker->second.runs.contains(other)
+            && worker->second.runs.at(other).percent >= kAtWorkPercent;
+        away += isAtWork ? 0 : 1;
+    }
+    const auto budget = std::max<std::int64_t>(1, step.maxUnavailable);
+    return away < budget;
+}
+
+} // namespace peridotwalk
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -19,6 +19,24 @@
     return failures;
 }
 
+// For the log: what the steps ask for, in a few words.
+auto describe(const JobSpec &spec) -> std::string
+{
+    auto text = fmt::format("queue {} tenant {} occurrences {}", spec.queue, spec.tenant,
+                            spec.occurrences);
+    for (const auto &step : spec.steps) {
+        text += fmt::format("; {} x cpu {} mem {} estimate {} max/worker {}{}{}{}{}{} target {} "
+                            "budget {} image {}",
+                            step.count, step.need.cpu, step.need.memoryMb, step.estimateMs,
+                            step.maxPerWorker, step.isGang ? " gang" : "",
+                            step.isLongRunning ? " lasting" : "", step.isFiller ? " filler" : "",
+                            step.isSpeculative ? " speculative" : "",
+                            step.isCheckpointing ? " checkpointing" : "", step.latencyTargetMs,
+                            step.maxUnavailable, step.image);
+    }
+    return text;
+}
+
 auto hasRunsLeft(const JobEntry &entry, const TaskRef &ref, std::int64_t maxAttempts) -> bool
 {
     const auto &tasks =
@@ -118,6 +136,7 @@
     active_.insert(id);
     submitted_.insert(id);
     after(AnswerEffect{handle, JobVerdict::Accepted});
+    note("job.accepted", {id, 0, 0, 0}, 0, "", describe(entry.job.spec));
     needsSchedule_ = true;
 }
 
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -82,10 +82,10 @@
         } else if (const auto *start = std::get_if<StartEffect>(&effect)) {
             dispatch(now, *start);
         } else if (const auto *ack = std::get_if<AckEffect>(&effect)) {
-            auto &worker = workers_.at(ack->worker);
-            if (worker.bornMs == ack->bornMs) {
-                worker.recordedEnd = std::max(worker.recordedEnd, ack->end);
-                worker.nextHoldAt = now.steadyMs;
+            const auto worker = workers_.find(ack->worker);
+            if (worker != workers_.end() && worker->second.bornMs == ack->bornMs) {
+                worker->second.recordedEnd = std::max(worker->second.recordedEnd, ack->end);
+                worker->second.nextHoldAt = now.steadyMs;
             }
         }
     }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -106,6 +106,7 @@
     }
     needsSchedule_ = false;
     tenantWanted_.clear();
+    wanted_ = {};
     for (const auto &step : findReadySteps(now)) {
         const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
         if (spec.isGang) {
@@ -135,29 +136,31 @@
         && within(rule->maximum.accelerators, limit.accelerators, used.accelerators);
 }
 
-// Returns whether all tasks that could start found a worker.
-auto PoolScheduler::State::placeStep(Moment now, const ReadyStep &step) -> bool
+auto PoolScheduler::State::placeStep(Moment now, const ReadyStep &step) -> void
 {
     auto       &entry = *step.entry;
     const auto &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
     const auto &tenant = entry.job.spec.tenant;
     auto       &tasks =
         entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
+    auto isBlocked = false; // Tasks of a step are alike: where one finds no worker, none does.
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].isDone || tasks[index].isLive()) {
             continue;
         }
-        tenantWanted_[tenant] += spec.need;
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
-        auto      *worker =
-            mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref, "") : nullptr;
-        if (worker == nullptr) {
-            return false;
+        if (!isBlocked && mayUse(tenant, spec.need)) {
+            auto *worker = chooseWorker(now, entry, ref);
+            if (worker != nullptr) {
+                reserve(now, entry, ref, *worker);
+                continue;
+            }
+            isBlocked = true;
         }
-        reserve(now, entry, ref, *worker);
+        tenantWanted_[tenant] += spec.need;
+        wanted_ += roomNeed(spec);
     }
-    return true;
 }
 
 // Places all members of a gang, or none.
@@ -181,8 +184,7 @@
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
-        tenantWanted_[tenant] += spec.need;
-        auto *worker = mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref, "") : nullptr;
+        auto *worker = mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref) : nullptr;
         if (worker == nullptr) {
             break;
         }
@@ -199,6 +201,10 @@
         release(*worker, ref);
     }
     if (!isWhole) {
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            tenantWanted_[tenant] += spec.need;
+            wanted_ += roomNeed(spec);
+        }
         return;
     }
     for (const auto &[worker, ref] : placed) {
@@ -208,8 +214,8 @@
     }
 }
 
-auto PoolScheduler::State::chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref,
-                                        const std::string &rack) -> Worker *
+auto PoolScheduler::State::chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
+    -> Worker *
 {
     const auto &step = stepOf(entry, ref);
     const auto  need = roomNeed(step);
@@ -222,9 +228,6 @@
         if (!step.requiredLabel.empty() && !worker.report.labels.contains(step.requiredLabel)) {
             continue;
         }
-        if (!rack.empty() && worker.report.rack != rack) {
-            continue;
-        }
         std::int64_t siblings = 0;
         std::int64_t serving = 0;
         for (const auto &[other, run] : worker.runs) {
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -76,29 +76,14 @@
     for (auto &[id, worker] : state_->workers_) {
         state_->tickWorker(now, worker);
     }
+    state_->emptyCordoned(now);
     state_->schedule(now);
     state_->flush(now);
 }
 
-auto PoolScheduler::setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void
+auto PoolScheduler::direct(Moment now, const PoolDirection &direction) -> void
 {
-    auto &held = state_->allowances_[tenant];
-    state_->needsSchedule_ = state_->needsSchedule_ || !(held == allowance);
-    held = allowance;
-}
-
-auto PoolScheduler::setCordon(const std::string &worker, bool isCordoned) -> void
-{
-    if (isCordoned) {
-        state_->cordoned_.insert(worker);
-    } else {
-        state_->cordoned_.erase(worker);
-    }
-    const auto found = state_->workers_.find(worker);
-    if (found != state_->workers_.end()) {
-        found->second.isCordoned = isCordoned;
-        state_->needsSchedule_ = true;
-    }
+    state_->direct(now, direction);
 }
 
 auto PoolScheduler::takeActions() -> std::vector<PoolAction>
@@ -134,22 +119,9 @@
     return state_->isFenced_;
 }
 
-auto PoolScheduler::isVacant(const std::string &worker) const -> bool
+auto PoolScheduler::report() const -> PoolReport
 {
-    const auto found = state_->workers_.find(worker);
-    return found == state_->workers_.end() || found->second.runs.empty();
-}
-
-auto PoolScheduler::tenantUses() const -> std::map<std::string, TenantUse>
-{
-    auto uses = std::map<std::string, TenantUse>();
-    for (const auto &[tenant, used] : state_->tenantUsed_) {
-        uses[tenant].used = used;
-    }
-    for (const auto &[tenant, wanted] : state_->tenantWanted_) {
-        uses[tenant].wanted = wanted;
-    }
-    return uses;
+    return state_->report();
 }
 
 auto PoolScheduler::countJobs() const -> std::size_t
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -18,6 +18,7 @@
 
 #pragma once
 
+#include "coordinator/coordinator.h"
 #include "journal/journal.h"
 
 namespace peridotwalk {
@@ -38,7 +39,8 @@
     TimeMs holdWaitMs = 1'000;      // A hold waits that long for an end.
     TimeMs holdRetryMs = 250;       // After a hold without an answer.
     TimeMs orderRetryMs = 300;      // After an order without an answer.
-    TimeMs caretakerMs = 8'000;     // An owner without the store extends leases that much longer.
+    TimeMs caretakerMs = 3'000;     // An owner without the store extends leases that much longer.
+    TimeMs cordonPatienceMs = 5'000; // Timed tasks on a worker that is emptied may go on that long.
     TimeMs flushGapMs = 10;         // Least time between appends. Batches changes.
     TimeMs journalStallMs = 600;    // New jobs are refused while an append is older than that.
     TimeMs stopMs = 200;            // A worker ends a stopped run within that.
@@ -118,12 +120,6 @@
     std::int64_t token = 0; // Fencing token of this owner.
 };
 
-// What of a tenant's maximum this pool may use.
-struct TenantUse {
-    ResourceSet used;
-    ResourceSet wanted; // Of tasks that could start now.
-};
-
 class PoolScheduler
 {
 public:
@@ -143,8 +139,7 @@
     auto onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void;
     auto onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void;
     auto tick(Moment now) -> void;
-    auto setAllowance(const std::string &tenant, const ResourceSet &allowance) -> void;
-    auto setCordon(const std::string &worker, bool isCordoned) -> void; // It gets no new runs.
+    auto direct(Moment now, const PoolDirection &direction) -> void; // Of the coordinator.
     auto takeActions() -> std::vector<PoolAction>;
 
     // Queries.
@@ -152,8 +147,7 @@
     auto jobState(std::string_view id) const -> std::optional<JobState>; // As recorded.
     auto countPending(std::string_view queue) const -> std::int64_t;
     auto isFenced() const -> bool;                                // A newer owner is at work.
-    auto isVacant(const std::string &worker) const -> bool;       // Nothing runs or may run there.
-    auto tenantUses() const -> std::map<std::string, TenantUse>;
+    auto report() const -> PoolReport;                            // To the coordinator.
     auto countJobs() const -> std::size_t;
     auto countRuns() const -> std::size_t;
     auto isSettled() const -> bool; // No append is under way or due.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -157,13 +157,18 @@
     // Placement (placement.cpp)
     auto schedule(Moment now) -> void;
     auto findReadySteps(Moment now) -> std::vector<ReadyStep>;
-    auto placeStep(Moment now, const ReadyStep &step) -> bool;
+    auto placeStep(Moment now, const ReadyStep &step) -> void;
     auto placeGang(Moment now, const ReadyStep &step) -> void;
-    auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref,
-                      const std::string &rack) -> Worker *;
+    auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
     auto mayUse(const std::string &tenant, const ResourceSet &need) const -> bool;
 
+    // Directions of the coordinator (directions.cpp)
+    auto direct(Moment now, const PoolDirection &direction) -> void;
+    auto report() const -> PoolReport;
+    auto emptyCordoned(Moment now) -> void;
+    auto mayTakeAway(const TaskRef &ref) const -> bool;
+
     auto queueOf(const JobEntry &entry) const -> const QueueRule *;
     auto note(std::string_view event, const TaskRef &task, std::int64_t run,
               const std::string &worker, std::string detail) -> void;
@@ -182,7 +187,8 @@
     std::map<std::string, ResourceSet>             tenantUsed_;
     std::map<std::string, ResourceSet>             tenantWanted_;
     std::map<std::string, ResourceSet>             allowances_;
-    std::set<std::string>                        cordoned_;
+    std::map<std::string, TimeMs>                cordoned_; // Since when.
+    ResourceSet                                  wanted_;   // Of ready tasks without a worker.
     std::set<std::string>                        changed_;  // Progress to record.
     std::set<std::string>                        submitted_; // Jobs to record.
     std::vector<Effect>                          effects_;
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -79,7 +79,7 @@
     if (!worker.isAsked || worker.clockAt == 0) {
         // The former owner may have extended leases until its own limit.
         return ownedSince_ + settings_.caretakerMs
-            + static_cast<TimeMs>(static_cast<double>(settings_.maxLeaseMs) * kClockError)
+            + static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError)
             + kClockSlackMs;
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
