--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -7,12 +7,15 @@
 // Index of this file
 // [SECTION] Reports and directions
 // [SECTION] Quota ledger
+// [SECTION] Demand forecast
 // [SECTION] Machine planner
 
 #pragma once
 
 #include "services/services.h"
 
+#include <optional>
+
 namespace peridotwalk {
 
 //-----------------------------------------------------------------------------
@@ -31,6 +34,7 @@
     std::int64_t runs = 0;
     std::int64_t lastingRuns = 0; // Of them, those that have to be moved elsewhere.
     std::int64_t cpu = 0;         // In use by timed tasks.
+    std::int64_t lastingCpu = 0;  // In use by lasting tasks.
     bool         isCordoned = false;
 };
 
@@ -75,6 +79,47 @@
     std::map<std::string, std::map<std::string, ResourceSet>>     held_; // By pool and tenant.
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Demand forecast
+//-----------------------------------------------------------------------------
+
+struct ForecastSettings {
+    double riseFactor = 2.0;    // A burst begins where demand exceeds its mean that many times.
+    TimeMs quietMs = 3'000;     // Demand was below that before, for at least this long.
+    TimeMs minPeriodMs = 6'000; // Shorter distances between bursts aren't a period.
+    TimeMs leadMs = 2'300;      // Room is asked for that long ahead. A move takes 1.5 s.
+    TimeMs overdueMs = 1'500;   // An expected burst that hasn't come by then isn't waited for.
+    TimeMs learningMs = 20'000; // Without a burst in that time, none is expected.
+};
+
+// Learns when the bursts of one pool's demand come, and how high they are.
+class DemandForecast
+{
+public:
+    explicit DemandForecast(const ForecastSettings &settings = {}) : settings_(settings) { }
+
+    // Commands.
+    auto add(TimeMs now, std::int64_t demandCpu) -> void;
+
+    // Queries.
+    auto period() const -> std::optional<TimeMs>;   // Between the last two bursts.
+    auto isLearning(TimeMs now) const -> bool;      // No burst was seen whole yet.
+    // Returns the demand to make room for now, with the period of this or another pool.
+    auto expected(TimeMs now, std::optional<TimeMs> period) const -> std::int64_t;
+
+private:
+    ForecastSettings settings_;
+    TimeMs           firstAt_ = -1;
+    TimeMs           lastAt_ = 0;
+    double           mean_ = 0;    // Over all time.
+    TimeMs           lowSince_ = -1;
+    TimeMs           burstAt_ = -1;    // Start of the last burst.
+    TimeMs           burstBefore_ = -1; // Start of the one before.
+    std::int64_t     peak_ = 0;        // Of the last burst.
+    std::int64_t     peakBefore_ = 0;
+    bool             isHigh_ = false;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Machine planner
 //-----------------------------------------------------------------------------
@@ -85,7 +130,8 @@
     TimeMs       listGapMs = 500;      // Between two listings.
     TimeMs       callRetryMs = 500;    // After a call without an answer, or a refusal.
     TimeMs       settleMs = 6'000;     // A machine that was called counts as away until listed again.
-    TimeMs       surplusMs = 1'000;    // A pool's machine is idle that long before it moves away.
+    TimeMs       surplusMs = 1'500;    // A pool's machine is idle that long before it moves away.
+    TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15;   // Room kept over what a pool asks for.
     std::int64_t minMachines = 3;      // Of each pool.
     double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
@@ -154,6 +200,8 @@
     struct Pool {
         PoolReport                        report;
         std::map<std::string, WorkerLoad> workers;
+        DemandForecast                    forecast;
+        TimeMs                            blockedSince = -1; // Ready tasks find no worker.
         TimeMs                            reportedAt = -1;
         TimeMs                            ownerSince = 0;
     };
@@ -166,7 +214,10 @@
     auto isEmptied(TimeMs now, const Machine &machine) const -> bool;
     auto isAway(TimeMs now, const Machine &machine) const -> bool;
     auto isStandby(std::string_view pool) const -> bool;
-    auto desiredMachines(const Pool &pool) const -> std::int64_t;
+    auto desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
+                         std::optional<TimeMs> period) const -> std::int64_t;
+    auto sharedPeriod() const -> std::optional<TimeMs>;
+    auto findIdle(TimeMs now) -> std::vector<Machine *>;
     auto countCordoned(std::string_view pool) const -> std::int64_t;
     auto countMachines(std::string_view pool) const -> std::int64_t;
     auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -54,8 +54,16 @@
     pool.report = report;
     pool.reportedAt = now;
     pool.workers.clear();
+    auto demand = report.wanted.cpu;
     for (const auto &worker : report.workers) {
         pool.workers[worker.id] = worker;
+        demand += worker.cpu;
+    }
+    pool.forecast.add(now, demand);
+    if (report.wanted == ResourceSet{}) {
+        pool.blockedSince = -1;
+    } else if (pool.blockedSince < 0) {
+        pool.blockedSince = now;
     }
 }
 
@@ -244,73 +252,101 @@
 // [SECTION] Machine planner: moves
 //-----------------------------------------------------------------------------
 
-auto MachinePlanner::desiredMachines(const Pool &pool) const -> std::int64_t
+// Pools that take turns share a period, so one pool's tells when the others' bursts return.
+auto MachinePlanner::sharedPeriod() const -> std::optional<TimeMs>
 {
-    auto         need = pool.report.wanted;
-    std::int64_t lasting = 0;
-    for (const auto &[id, worker] : pool.workers) {
-        need.cpu += worker.cpu;
-        lasting += worker.lastingRuns > 0 ? 1 : 0;
+    for (const auto &[name, pool] : pools_) {
+        if (const auto period = pool.forecast.period()) {
+            return period;
+        }
     }
+    return std::nullopt;
+}
+
+auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
+                                     std::optional<TimeMs> period) const -> std::int64_t
+{
     const auto &unit = pool.report.perWorker;
     if (unit.cpu <= 0 || unit.memoryMb <= 0) {
-        return settings_.minMachines;
-    }
-    const auto byCpu = static_cast<double>(need.cpu) / static_cast<double>(unit.cpu);
-    const auto byMemory =
-        static_cast<double>(pool.report.wanted.memoryMb) / static_cast<double>(unit.memoryMb);
-    const auto timed =
-        static_cast<std::int64_t>(std::ceil(std::max(byCpu, byMemory) * settings_.spareFactor));
-    return std::max({settings_.minMachines, timed, lasting});
+        return std::max(have, settings_.minMachines);
+    }
+    auto         timed = pool.report.wanted.cpu;
+    std::int64_t lasting = 0;
+    std::int64_t lastingWorkers = 0;
+    for (const auto &[id, worker] : pool.workers) {
+        timed += worker.cpu;
+        lasting += worker.lastingCpu;
+        lastingWorkers += worker.lastingRuns > 0 ? 1 : 0;
+    }
+    timed = std::max(timed, pool.forecast.expected(now, period));
+    const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
+        return static_cast<std::int64_t>(std::ceil(static_cast<double>(amount)
+                                                   * settings_.spareFactor
+                                                   / static_cast<double>(of)));
+    };
+    auto desired = std::max({settings_.minMachines, lastingWorkers,
+                             toMachines(timed + lasting, unit.cpu)});
+    if (pool.forecast.isLearning(now)) {
+        desired = std::max(desired, have);
+    }
+    if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedMs) {
+        desired = std::max(desired, have + 1);
+    }
+    return desired;
 }
 
-// Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
-auto MachinePlanner::planMoves(TimeMs now) -> void
+// Returns machines that can go elsewhere, those that stand by first.
+auto MachinePlanner::findIdle(TimeMs now) -> std::vector<Machine *>
 {
-    auto idle = std::vector<Machine *>(); // Free to go, best first.
-    auto surplus = std::map<std::string, std::int64_t>();
-    auto missing = std::map<std::string, std::int64_t>();
-    for (const auto &[name, pool] : pools_) {
-        if (!active_.contains(name) || now - pool.reportedAt > settings_.reportFreshMs) {
-            continue;
-        }
-        const auto have = countMachines(name);
-        const auto desired = desiredMachines(pool);
-        if (have < desired) {
-            missing[name] = desired - have;
-        } else {
-            surplus[name] = have - desired;
-        }
-    }
+    auto idle = std::vector<Machine *>();
     for (auto &[name, machine] : machines_) {
         const auto isFree = machine.isListed && machine.entry.state == MachineState::Up
             && !machine.isCalling && machine.wantedWave.empty() && machine.wantedPool.empty()
             && now >= machine.retryAt && !isAway(now, machine);
-        const auto isIdle = isFree && (isStandby(machine.entry.pool) || isVacant(now, machine));
-        if (!isIdle) {
+        const auto isStandingBy = isStandby(machine.entry.pool);
+        if (!isFree || (!isStandingBy && !isVacant(now, machine))) {
             machine.idleSince = -1;
             continue;
         }
         if (machine.idleSince < 0) {
             machine.idleSince = now;
         }
-        const auto isRested =
-            isStandby(machine.entry.pool) || now - machine.idleSince >= settings_.surplusMs;
-        if (isRested) {
+        if (isStandingBy || now - machine.idleSince >= settings_.surplusMs) {
             idle.push_back(&machine);
         }
     }
     std::ranges::sort(idle, {}, [&](const Machine *machine) {
         return !isStandby(machine->entry.pool);
     });
-    for (auto *machine : idle) {
+    return idle;
+}
+
+// Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
+auto MachinePlanner::planMoves(TimeMs now) -> void
+{
+    auto       surplus = std::map<std::string, std::int64_t>();
+    auto       missing = std::map<std::string, std::int64_t>();
+    const auto period = sharedPeriod();
+    for (const auto &[name, pool] : pools_) {
+        if (!active_.contains(name) || now - pool.reportedAt > settings_.reportFreshMs) {
+            continue;
+        }
+        const auto have = countMachines(name);
+        const auto desired = desiredMachines(now, pool, have, period);
+        if (have < desired) {
+            missing[name] = desired - have;
+        } else {
+            surplus[name] = have - desired;
+        }
+    }
+    for (auto *machine : findIdle(now)) {
         const auto from = machine->entry.pool;
-        const auto needy = std::ranges::max_element(
-            missing, {}, [](const auto &item) { return item.second; });
         const auto isStandingBy = isStandby(from);
         if (!isStandingBy && surplus[from] <= 0) {
             continue;
         }
+        const auto needy = std::ranges::max_element(
+            missing, {}, [](const auto &item) { return item.second; });
         if (needy != missing.end() && needy->second > 0
             && !machine->refusedPools.contains(needy->first)) {
             machine->wantedPool = needy->first;
@@ -399,7 +435,8 @@
         const auto &machine = item.second;
         const auto  isComing = machine.wantedPool == pool;
         const auto  isHere = machine.isListed && machine.entry.pool == pool
-            && machine.entry.state != MachineState::Down && machine.wantedPool.empty();
+            && machine.entry.state != MachineState::Down && machine.wantedPool.empty()
+            && machine.wantedWave.empty();
         return isComing || isHere;
     });
 }
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -57,11 +57,11 @@
         if (!worker.isListed) {
             continue;
         }
-        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, worker.isCordoned};
+        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, 0, worker.isCordoned};
         for (const auto &[ref, run] : worker.runs) {
             const auto &step = stepOf(jobs_.at(ref.job), ref);
             load.lastingRuns += step.isLongRunning ? 1 : 0;
-            load.cpu += step.isLongRunning ? 0 : run.need.cpu;
+            (step.isLongRunning ? load.lastingCpu : load.cpu) += run.need.cpu;
         }
         report.workers.push_back(load);
         report.perWorker.cpu = std::max(report.perWorker.cpu, worker.report.capacity.cpu);
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -27,7 +27,8 @@
 
 // Returns how much better `worker` is than others for a task; higher wins. Timed work is packed, so
 // that large tasks find room. Serving and filling tasks are kept apart, as they slow each other down.
-auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks) -> double
+auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks,
+             std::int64_t lastingTasks) -> double
 {
     const auto room = worker.room();
     const auto capacity = std::max<std::int64_t>(1, worker.report.capacity.cpu);
@@ -35,7 +36,8 @@
     if (step.isFiller) {
         return free - static_cast<double>(servingTasks);
     }
-    return step.isLongRunning ? free : -free;
+    // Lasting tasks share few workers, so that the others can be emptied.
+    return step.isLongRunning ? static_cast<double>(lastingTasks) + free : -free;
 }
 
 } // namespace
@@ -230,17 +232,19 @@
         }
         std::int64_t siblings = 0;
         std::int64_t serving = 0;
+        std::int64_t lasting = 0;
         for (const auto &[other, run] : worker.runs) {
             const auto isSibling = other.job == ref.job && other.occurrence == ref.occurrence
                 && other.step == ref.step;
             siblings += isSibling ? 1 : 0;
             const auto &otherStep = stepOf(jobs_.at(other.job), other);
+            lasting += otherStep.isLongRunning ? 1 : 0;
             serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
         }
         if (step.maxPerWorker > 0 && siblings >= step.maxPerWorker) {
             continue;
         }
-        auto score = fitness(worker, step, serving);
+        auto score = fitness(worker, step, serving, lasting);
         if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
             score += 10; // Work far from its data takes a multiple of the time.
         }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -152,7 +152,8 @@
     auto controlPace(Worker &worker) -> void;
     auto lapsedBy(const Worker &worker) const -> TimeMs;
     auto setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
-    auto isUsable(Moment now, const Worker &worker) const -> bool;
+    auto isUsable(Moment now, const Worker &worker) const -> bool; // For new runs.
+    auto mayStartOn(const Worker &worker) const -> bool;           // For runs already placed.
 
     // Placement (placement.cpp)
     auto schedule(Moment now) -> void;
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -60,8 +60,14 @@
 
 auto PoolScheduler::State::isUsable(Moment now, const Worker &worker) const -> bool
 {
-    return worker.isListed && worker.isAsked && worker.holdFailures == 0 && !worker.isCordoned
-        && !worker.report.isDraining && now.steadyMs >= worker.avoidUntil
+    return mayStartOn(worker) && worker.holdFailures == 0 && !worker.isCordoned
+        && now.steadyMs >= worker.avoidUntil;
+}
+
+// A run that was chosen before its worker was cordoned may still start: it counts as being there.
+auto PoolScheduler::State::mayStartOn(const Worker &worker) const -> bool
+{
+    return worker.isListed && worker.isAsked && !worker.report.isDraining
         && !view_.evacuatedZones.contains(worker.report.zone);
 }
 
@@ -133,7 +139,7 @@
     if (run.run != effect.run || run.isSent) {
         return;
     }
-    if (run.isStopping || !isUsable(now, worker) || now.steadyMs >= termUntil_) {
+    if (run.isStopping || !mayStartOn(worker) || now.steadyMs >= termUntil_) {
         abandon(now, worker, effect.task, "not startable any more");
         return;
     }
@@ -457,8 +463,10 @@
         auto &run = worker.runs.at(ref);
         if (run.isStopping) {
             sendStop(worker, ref, run);
-        } else if (now.steadyMs < termUntil_) {
+        } else if (now.steadyMs < termUntil_ && mayStartOn(worker)) {
             sendStart(now, worker, ref, run);
+        } else if (!mayStartOn(worker)) {
+            requestStop(now, worker, ref);
         }
     }
     const auto isWanted = !worker.runs.empty() || (worker.isListed && !worker.isAsked)
