--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -75,6 +75,7 @@
 // Timed tasks run to their end, for a while.
 auto PoolScheduler::State::emptyCordoned(Moment now) -> void
 {
+    reserved_.clear();
     if (cordoned_.empty() || isFenced_ || now.steadyMs >= termUntil_) {
         return;
     }
@@ -93,7 +94,7 @@
             }
         }
         for (const auto &ref : leaving) {
-            if (worker.runs.contains(ref) && mayTakeAway(ref)) {
+            if (worker.runs.contains(ref) && mayTakeAway(now, ref)) {
                 note("run.moved", ref, worker.runs.at(ref).run, id, "the worker is emptied");
                 requestStop(now, worker, ref);
             }
@@ -103,7 +104,7 @@
 
 // Returns whether the step's budget allows to take this task away: so few others are away now. A lasting
 // task also needs another place.
-auto PoolScheduler::State::mayTakeAway(const TaskRef &ref) const -> bool
+auto PoolScheduler::State::mayTakeAway(Moment now, const TaskRef &ref) -> bool
 {
     const auto &entry = jobs_.at(ref.job);
     const auto &step = stepOf(entry, ref);
@@ -126,7 +127,14 @@
         away += isAtWork ? 0 : 1;
     }
     const auto budget = std::max<std::int64_t>(1, step.maxUnavailable);
-    return away < budget;
+    if (away >= budget) {
+        return false;
+    }
+    if (chooseWorker(now, entry, ref) == nullptr) {
+        reserveWorker(now, entry, ref);
+        return false;
+    }
+    return true;
 }
 
 } // namespace peridotwalk
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
 
 // Returns the longest chain of work from the start, by the steps' estimates.
@@ -40,6 +41,14 @@
     return step.isLongRunning ? static_cast<double>(lastingTasks) + free : -free;
 }
 
+auto countSiblings(const Worker &worker, const TaskRef &ref) -> std::int64_t
+{
+    return std::ranges::count_if(worker.runs, [&](const auto &item) {
+        return item.first.job == ref.job && item.first.occurrence == ref.occurrence
+            && item.first.step == ref.step;
+    });
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -159,6 +168,9 @@
                 continue;
             }
             isBlocked = true;
+            if (spec.isLongRunning) {
+                reserveWorker(now, entry, ref);
+            }
         }
         tenantWanted_[tenant] += spec.need;
         wanted_ += roomNeed(spec);
@@ -216,6 +228,23 @@
     }
 }
 
+// Returns whether a task may run on a worker, apart from room.
+auto PoolScheduler::State::isAllowed(Moment now, const Worker &worker, const JobEntry &entry,
+                                     const TaskRef &ref) const -> bool
+{
+    const auto &step = stepOf(entry, ref);
+    if (!isUsable(now, worker)) {
+        return false;
+    }
+    if (!step.requiredLabel.empty() && !worker.report.labels.contains(step.requiredLabel)) {
+        return false;
+    }
+    if (!step.isLongRunning && reserved_.contains(worker.peer.id)) {
+        return false;
+    }
+    return step.maxPerWorker == 0 || countSiblings(worker, ref) < step.maxPerWorker;
+}
+
 auto PoolScheduler::State::chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
     -> Worker *
 {
@@ -224,29 +253,19 @@
     Worker     *best = nullptr;
     auto        bestFitness = 0.0;
     for (auto &[id, worker] : workers_) {
-        if (!isUsable(now, worker) || !need.fits(worker.room())) {
-            continue;
-        }
-        if (!step.requiredLabel.empty() && !worker.report.labels.contains(step.requiredLabel)) {
+        if (!need.fits(worker.room()) || !isAllowed(now, worker, entry, ref)) {
             continue;
         }
-        std::int64_t siblings = 0;
         std::int64_t serving = 0;
         std::int64_t lasting = 0;
         for (const auto &[other, run] : worker.runs) {
-            const auto isSibling = other.job == ref.job && other.occurrence == ref.occurrence
-                && other.step == ref.step;
-            siblings += isSibling ? 1 : 0;
             const auto &otherStep = stepOf(jobs_.at(other.job), other);
             lasting += otherStep.isLongRunning ? 1 : 0;
             serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
         }
-        if (step.maxPerWorker > 0 && siblings >= step.maxPerWorker) {
-            continue;
-        }
         auto score = fitness(worker, step, serving, lasting);
         if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
-            score += 10; // Work far from its data takes a multiple of the time.
+            score += kNearDataFitness;
         }
         if (best == nullptr || score > bestFitness) {
             best = &worker;
@@ -256,6 +275,29 @@
     return best;
 }
 
+// Keeps timed tasks off the worker where a lasting task will find room soonest: small timed tasks would
+// take every gap before it is large enough.
+auto PoolScheduler::State::reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
+    -> void
+{
+    const auto need = roomNeed(stepOf(entry, ref));
+    const Worker *best = nullptr;
+    for (const auto &[id, worker] : workers_) {
+        if (!need.fits(worker.report.capacity) || !isAllowed(now, worker, entry, ref)) {
+            continue;
+        }
+        if (reserved_.contains(id)) {
+            return; // One at a time is enough.
+        }
+        if (best == nullptr || worker.room().memoryMb > best->room().memoryMb) {
+            best = &worker;
+        }
+    }
+    if (best != nullptr) {
+        reserved_.insert(best->peer.id);
+    }
+}
+
 auto PoolScheduler::State::reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker)
     -> void
 {
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -161,6 +161,9 @@
     auto placeStep(Moment now, const ReadyStep &step) -> void;
     auto placeGang(Moment now, const ReadyStep &step) -> void;
     auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
+    auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry, const TaskRef &ref) const
+        -> bool;
+    auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
     auto mayUse(const std::string &tenant, const ResourceSet &need) const -> bool;
 
@@ -168,7 +171,7 @@
     auto direct(Moment now, const PoolDirection &direction) -> void;
     auto report() const -> PoolReport;
     auto emptyCordoned(Moment now) -> void;
-    auto mayTakeAway(const TaskRef &ref) const -> bool;
+    auto mayTakeAway(Moment now, const TaskRef &ref) -> bool;
 
     auto queueOf(const JobEntry &entry) const -> const QueueRule *;
     auto note(std::string_view event, const TaskRef &task, std::int64_t run,
@@ -190,6 +193,7 @@
     std::map<std::string, ResourceSet>             allowances_;
     std::map<std::string, TimeMs>                cordoned_; // Since when.
     ResourceSet                                  wanted_;   // Of ready tasks without a worker.
+    std::set<std::string>                        reserved_; // Workers kept for lasting tasks.
     std::set<std::string>                        changed_;  // Progress to record.
     std::set<std::string>                        submitted_; // Jobs to record.
     std::vector<Effect>                          effects_;
