--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -130,6 +130,7 @@
     TimeMs       listGapMs = 500;      // Between two listings.
     TimeMs       callRetryMs = 500;    // After a call without an answer, or a refusal.
     TimeMs       settleMs = 6'000;     // A machine that was called counts as away until listed again.
+    TimeMs       calledMs = 12'000;    // The worker of a machine that was called gets no new runs.
     TimeMs       surplusMs = 1'500;    // A pool's machine is idle that long before it moves away.
     TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15;   // Room kept over what a pool asks for.
@@ -172,7 +173,7 @@
     auto takeActions() -> std::vector<PlannerAction>;
 
     // Queries.
-    auto cordonedOf(std::string_view pool) const -> std::vector<std::string>;
+    auto cordonedOf(TimeMs now, std::string_view pool) const -> std::vector<std::string>;
 
 private:
     struct Wave {
@@ -229,6 +230,7 @@
     bool                                     hasList_ = false;
     std::map<std::string, Wave>              waves_;
     std::map<std::string, Machine>           machines_;
+    std::map<std::string, TimeMs>            called_; // Workers of called machines, until when.
     std::map<std::string, Pool, std::less<>> pools_;
     std::set<std::string, std::less<>>       standby_;
     std::set<std::string, std::less<>>       active_;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -108,6 +108,7 @@
         return;
     }
     machine.awayUntil = 0;
+    called_.erase(machine.calledWorker);
     machine.retryAt = now + settings_.callRetryMs;
     machine.wantedPool.clear();
     if (reply.refusal == MachineRefusal::Invalid) {
@@ -126,6 +127,7 @@
     }
     if (reply.outcome == CallOutcome::Refused) {
         machine.awayUntil = 0;
+        called_.erase(machine.calledWorker);
         machine.retryAt = now + settings_.callRetryMs;
     } else {
         machine.awayUntil = now + settings_.settleMs;
@@ -384,6 +386,10 @@
     machine.wasSeenAway = false;
     machine.awayUntil = now + settings_.settleMs;
     machine.calledWorker = machine.entry.worker;
+    std::erase_if(called_, [&](const auto &item) { return item.second < now; });
+    if (!machine.entry.worker.empty()) {
+        called_[machine.entry.worker] = now + settings_.calledMs;
+    }
     if (!machine.wantedWave.empty()) {
         waves_[machine.wantedWave].calling.insert(name);
         actions_.push_back(MaintainMachine{name, machine.wantedWave});
@@ -448,7 +454,8 @@
     });
 }
 
-auto MachinePlanner::cordonedOf(std::string_view pool) const -> std::vector<std::string>
+auto MachinePlanner::cordonedOf(TimeMs now, std::string_view pool) const
+    -> std::vector<std::string>
 {
     auto workers = std::vector<std::string>();
     for (const auto &[name, machine] : machines_) {
@@ -457,6 +464,12 @@
             workers.push_back(machine.entry.worker);
         }
     }
+    // A worker whose machine was called away may be listed as ready for a while yet.
+    for (const auto &[worker, until] : called_) {
+        if (now < until) {
+            workers.push_back(worker);
+        }
+    }
     return workers;
 }
 
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -58,7 +58,7 @@
     duty_->ledger.setPools({pools.begin(), pools.end()});
     duty_->planner.onReport(bootMs(), report);
     return PoolDirection{duty_->token, duty_->ledger.grant(report, catalog),
-                         duty_->planner.cordonedOf(report.pool)};
+                         duty_->planner.cordonedOf(bootMs(), report.pool)};
 }
 
 auto CoordinatorTask::tick() -> void
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -1,5 +1,7 @@
 #include "pool/pool_internal.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <tuple>
 
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
+constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
 
 // Returns the longest chain of work from the start, by the steps' estimates.
@@ -171,6 +174,7 @@
             if (spec.isLongRunning) {
                 reserveWorker(now, entry, ref);
             }
+            explainWait(now, entry, ref);
         }
         tenantWanted_[tenant] += spec.need;
         wanted_ += roomNeed(spec);
@@ -275,6 +279,35 @@
     return best;
 }
 
+// Says once a while why a task of a job finds no worker.
+auto PoolScheduler::State::explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void
+{
+    if (now.steadyMs < entry.explainAt) {
+        return;
+    }
+    entry.explainAt = now.steadyMs + kExplainGapMs;
+    const auto need = roomNeed(stepOf(entry, ref));
+    std::int64_t usable = 0;
+    std::int64_t allowed = 0;
+    std::int64_t roomy = 0;
+    auto         most = ResourceSet{};
+    for (const auto &[id, worker] : workers_) {
+        usable += isUsable(now, worker) ? 1 : 0;
+        if (!isAllowed(now, worker, entry, ref)) {
+            continue;
+        }
+        ++allowed;
+        roomy += need.fits(worker.room()) ? 1 : 0;
+        most.cpu = std::max(most.cpu, worker.room().cpu);
+        most.memoryMb = std::max(most.memoryMb, worker.room().memoryMb);
+    }
+    note("task.waits", ref, 0, "",
+         fmt::format("workers {} usable {} allowed {} with room {}; needs cpu {} memory {}; most free "
+                     "cpu {} memory {}",
+                     workers_.size(), usable, allowed, roomy, need.cpu, need.memoryMb, most.cpu,
+                     most.memoryMb));
+}
+
 // Keeps timed tasks off the worker where a lasting task will find room soonest: small timed tasks would
 // take every gap before it is large enough.
 auto PoolScheduler::State::reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
@@ -315,6 +348,7 @@
     if (entry.job.state == JobState::Queued) {
         entry.job.state = JobState::Running;
     }
+    note("run.placed", ref, run.run, worker.peer.id, "");
     markChanged(entry.job.spec.id);
     after(StartEffect{ref, task.run, worker.peer.id});
 }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -68,6 +68,7 @@
     Job      job;
     JobState recorded = JobState::Queued;
     bool     isRecorded = false;
+    TimeMs   explainAt = 0; // The next line on why it waits.
 };
 
 // What happens once the journal has a batch.
@@ -150,6 +151,7 @@
     auto sendHold(Moment now, Worker &worker) -> void;
     auto tickWorker(Moment now, Worker &worker) -> void;
     auto controlPace(Worker &worker) -> void;
+    auto extendLease(Moment now, Worker &worker) -> TimeMs;
     auto lapsedBy(const Worker &worker) const -> TimeMs;
     auto setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
     auto isUsable(Moment now, const Worker &worker) const -> bool; // For new runs.
@@ -163,6 +165,7 @@
     auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
     auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry, const TaskRef &ref) const
         -> bool;
+    auto explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
     auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
     auto mayUse(const std::string &tenant, const ResourceSet &need) const -> bool;
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -93,6 +93,16 @@
         + kClockSlackMs;
 }
 
+// A silent worker's lease stays as it is, so that it is over one day.
+auto PoolScheduler::State::extendLease(Moment now, Worker &worker) -> TimeMs
+{
+    if (worker.holdFailures == 0) {
+        const auto until = worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, until);
+    }
+    return worker.leaseUntilMs;
+}
+
 auto PoolScheduler::State::release(Worker &worker, const TaskRef &ref) -> void
 {
     const auto held = worker.runs.find(ref);
@@ -156,9 +166,8 @@
     order.run = run.run;
     order.payload = entry.job.spec.payload;
     order.checkpoint = task.checkpoint;
-    order.leaseUntilMs = worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
+    order.leaseUntilMs = extendLease(now, worker);
     order.token = identity_.token;
-    worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.leaseUntilMs);
     run.isSent = true;
     run.isOrderOut = true;
     ++run.attempts;
@@ -208,6 +217,10 @@
                 fmt::format("refused, reason {}", static_cast<int>(reply.refusal)));
         return;
     }
+    note("run.unanswered", sent.order.task, run.run, worker.peer.id,
+         fmt::format("attempt {} outcome {} refusal {} listed {} hold failures {}", run.attempts,
+                     static_cast<int>(reply.outcome), static_cast<int>(reply.refusal),
+                     worker.isListed, worker.holdFailures));
     // An earlier order of this run may still be on its way. Only a stop voids it.
     if (run.attempts >= settings_.maxStartAttempts || reply.outcome == CallOutcome::Refused) {
         requestStop(now, worker, sent.order.task);
@@ -292,11 +305,9 @@
         });
         hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
     }
-    if (worker.clockAt > 0 && now.steadyMs < termUntil_ + settings_.caretakerMs) {
-        const auto until =
-            worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
-        hold.order.leaseUntilMs = until;
-        worker.leaseUntilMs = std::max(worker.leaseUntilMs, until);
+    if (worker.clockAt > 0 && worker.holdFailures == 0
+        && now.steadyMs < termUntil_ + settings_.caretakerMs) {
+        hold.order.leaseUntilMs = extendLease(now, worker);
     }
     worker.isHoldOut = true;
     actions_.push_back(std::move(hold));
