--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -135,6 +135,7 @@
     TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15;   // Room kept over what a pool asks for.
     std::int64_t minMachines = 3;      // Of each pool.
+    double       floorPart = 0.6;      // Of an even split of all machines, that each pool keeps.
     double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
     bool         isMoving = true;      // Moves machines between pools.
 };
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -286,8 +286,12 @@
                                                    * settings_.spareFactor
                                                    / static_cast<double>(of)));
     };
-    auto desired = std::max({settings_.minMachines, lastingWorkers,
-                             toMachines(timed + lasting, unit.cpu)});
+    // A pool keeps enough to go on by itself while there is no coordinator.
+    const auto even = static_cast<double>(machines_.size())
+        / static_cast<double>(std::max<std::size_t>(1, active_.size()));
+    const auto floor = static_cast<std::int64_t>(settings_.floorPart * even);
+    auto       desired = std::max({settings_.minMachines, floor, lastingWorkers,
+                                   toMachines(timed + lasting, unit.cpu)});
     if (pool.forecast.isLearning(now)) {
         desired = std::max(desired, have);
     }
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr TimeMs kOperatorsWaitMs = 10'000; // Rules change rarely; a reading waits for them.
+constexpr TimeMs kOperatorsWaitMs = 700; // A channel that fell silent shows after that at most.
 constexpr TimeMs kOperatorsRetryMs = 200;
 
 } // namespace
