--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -36,6 +36,7 @@
     std::int64_t cpu = 0;         // In use by timed tasks.
     std::int64_t lastingCpu = 0;  // In use by lasting tasks.
     bool         isCordoned = false;
+    bool         isUsable = false; // Takes new runs, apart from a cordon.
 };
 
 struct PoolReport {
@@ -164,6 +165,7 @@
     auto begin(TimeMs now) -> void; // This node has become the holder.
     auto setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void;
     auto setCatalog(const Catalog &catalog) -> void;
+    auto setEvacuated(const std::set<std::string> &zones) -> void; // Their machines are no use.
     auto onReport(TimeMs now, const PoolReport &report) -> void;
     auto onListed(TimeMs now, const std::vector<MachineEntry> &machines) -> void;
     auto onListFailed(TimeMs now) -> void;
@@ -197,6 +199,7 @@
         TimeMs       idleSince = -1;
         std::string  wantedPool;         // It is being emptied to move there.
         std::string  wantedWave;         // It is being emptied for maintenance.
+        std::string  movingTo;           // It was called to move there, and isn't back yet.
         std::set<std::string> refusedPools;
     };
     struct Pool {
@@ -222,6 +225,7 @@
     auto findIdle(TimeMs now) -> std::vector<Machine *>;
     auto countCordoned(std::string_view pool) const -> std::int64_t;
     auto countMachines(std::string_view pool) const -> std::int64_t;
+    auto countUsable(TimeMs now, std::string_view pool) const -> std::int64_t;
     auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
 
     PlannerSettings                          settings_;
@@ -235,6 +239,7 @@
     std::map<std::string, Pool, std::less<>> pools_;
     std::set<std::string, std::less<>>       standby_;
     std::set<std::string, std::less<>>       active_;
+    std::set<std::string>                    evacuated_;
     std::vector<PlannerAction>               actions_;
 };
 
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -45,6 +45,11 @@
     }
 }
 
+auto MachinePlanner::setEvacuated(const std::set<std::string> &zones) -> void
+{
+    evacuated_ = zones;
+}
+
 auto MachinePlanner::onReport(TimeMs now, const PoolReport &report) -> void
 {
     auto &pool = pools_[report.pool];
@@ -88,6 +93,9 @@
         if (isBack && !machine.isCalling) {
             machine.awayUntil = 0;
         }
+        if (!isAway(now, machine)) {
+            machine.movingTo.clear();
+        }
     }
 }
 
@@ -104,6 +112,7 @@
     if (reply.outcome == CallOutcome::Done || reply.outcome == CallOutcome::Unknown) {
         machine.awayUntil = now + settings_.settleMs;
         machine.wantedPool.clear();
+        machine.movingTo = call.pool;
         listAt_ = std::min(listAt_, now + settings_.listGapMs);
         return;
     }
@@ -309,6 +318,7 @@
         const auto isFree = machine.isListed && machine.entry.state == MachineState::Up
             && !machine.isCalling && machine.wantedWave.empty() && machine.wantedPool.empty()
             && now >= machine.retryAt && !isAway(now, machine);
+        const auto isOut = evacuated_.contains(machine.entry.zone);
         const auto isStandingBy = isStandby(machine.entry.pool);
         if (!isFree || (!isStandingBy && !isVacant(now, machine))) {
             machine.idleSince = -1;
@@ -317,7 +327,8 @@
         if (machine.idleSince < 0) {
             machine.idleSince = now;
         }
-        if (isStandingBy || now - machine.idleSince >= settings_.surplusMs) {
+        const auto isRested = now - machine.idleSince >= settings_.surplusMs;
+        if ((isStandingBy && !isOut) || (!isStandingBy && isRested)) {
             idle.push_back(&machine);
         }
     }
@@ -337,7 +348,7 @@
         if (!active_.contains(name) || now - pool.reportedAt > settings_.reportFreshMs) {
             continue;
         }
-        const auto have = countMachines(name);
+        const auto have = countUsable(now, name);
         const auto desired = desiredMachines(now, pool, have, period);
         if (have < desired) {
             missing[name] = desired - have;
@@ -348,12 +359,13 @@
     for (auto *machine : findIdle(now)) {
         const auto from = machine->entry.pool;
         const auto isStandingBy = isStandby(from);
-        if (!isStandingBy && surplus[from] <= 0) {
+        const auto isOut = evacuated_.contains(machine->entry.zone);
+        if (!isStandingBy && !isOut && surplus[from] <= 0) {
             continue;
         }
         const auto needy = std::ranges::max_element(
             missing, {}, [](const auto &item) { return item.second; });
-        if (needy != missing.end() && needy->second > 0
+        if (!isOut && needy != missing.end() && needy->second > 0
             && !machine->refusedPools.contains(needy->first)) {
             machine->wantedPool = needy->first;
             --needy->second;
@@ -363,7 +375,7 @@
         } else {
             continue;
         }
-        if (!isStandingBy) {
+        if (!isStandingBy && !isOut) {
             --surplus[from];
         }
     }
@@ -451,6 +463,27 @@
     });
 }
 
+// Counts machines that a pool can use now or very soon: those that work, and those on their way.
+auto MachinePlanner::countUsable(TimeMs now, std::string_view pool) const -> std::int64_t
+{
+    const auto found = pools_.find(pool);
+    return std::ranges::count_if(machines_, [&](const auto &item) {
+        const auto &machine = item.second;
+        if (evacuated_.contains(machine.entry.zone)) {
+            return false;
+        }
+        if (machine.wantedPool == pool || machine.movingTo == pool) {
+            return true;
+        }
+        if (!machine.isListed || machine.entry.pool != pool || !machine.wantedPool.empty()
+            || !machine.wantedWave.empty() || isAway(now, machine)) {
+            return false;
+        }
+        const auto worker = found->second.workers.find(machine.entry.worker);
+        return worker != found->second.workers.end() && worker->second.isUsable;
+    });
+}
+
 auto MachinePlanner::countCordoned(std::string_view pool) const -> std::int64_t
 {
     return std::ranges::count_if(machines_, [&](const auto &item) {
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -68,6 +68,7 @@
     }
     auto &planner = duty_->planner;
     planner.setCatalog(directory_.view().catalog);
+    planner.setEvacuated(directory_.view().evacuatedZones);
     planner.setWaves(bootMs(), directory_.view().waves);
     planner.tick(bootMs());
     for (const auto &action : planner.takeActions()) {
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -57,7 +57,8 @@
         if (!worker.isListed) {
             continue;
         }
-        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, 0, worker.isCordoned};
+        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, 0, worker.isCordoned,
+                               mayStartOn(worker) && worker.holdFailures == 0};
         for (const auto &[ref, run] : worker.runs) {
             const auto &step = stepOf(jobs_.at(ref.job), ref);
             load.lastingRuns += step.isLongRunning ? 1 : 0;
