--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -257,6 +257,13 @@
         });
         return;
     }
+    if (call.sendBy > 0 && bootMs() >= call.sendBy) {
+        giveBack(connection);
+        loop_.post([done = std::move(done)] {
+            done({false, false, 0, {}, {}, "the call was due to be sent earlier"});
+        });
+        return;
+    }
     connection->call(call, [this, connection, done = std::move(done)](HttpResult result) {
         giveBack(connection);
         done(std::move(result));
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -163,6 +163,7 @@
     std::map<std::string, std::string> headers;
     std::string                        body;
     TimeMs                             timeoutMs = 1'000;
+    TimeMs                             sendBy = 0; // On bootMs(): not sent later. 0: no limit.
 };
 
 struct PoolLimits {
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -6,6 +6,7 @@
 
 constexpr TimeMs kTickMs = 100;
 constexpr int    kHttpOk = 200;
+constexpr TimeMs kHolderMarginMs = 800; // Of a term, for calls on their way to machines.
 
 } // namespace
 
@@ -48,6 +49,11 @@
     return duty_ != nullptr && bootMs() < ownership_.ownership().termUntil();
 }
 
+auto CoordinatorTask::holder() const -> MachineHolder
+{
+    return {settings_.name, duty_->token, ownership_.ownership().termUntil() - kHolderMarginMs};
+}
+
 auto CoordinatorTask::handle(const PoolReport &report) -> std::optional<PoolDirection>
 {
     if (!isInTerm() || !directory_.hasCatalog()) {
@@ -91,7 +97,7 @@
 
 auto CoordinatorTask::perform(const MoveMachine &action) -> void
 {
-    machines_.move(action.machine, action.pool, {settings_.name, duty_->token},
+    machines_.move(action.machine, action.pool, holder(),
                    [duty = duty_, action](const MachineReply &reply) {
                        logEvent(LogLevel::Info, "machine.moved",
                                 {{"machine", action.machine},
@@ -105,7 +111,7 @@
 
 auto CoordinatorTask::perform(const MaintainMachine &action) -> void
 {
-    machines_.maintain(action.machine, action.wave, {settings_.name, duty_->token},
+    machines_.maintain(action.machine, action.wave, holder(),
                        [duty = duty_, action](const MachineReply &reply) {
                            logEvent(LogLevel::Info, "machine.maintained",
                                     {{"machine", action.machine},
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -73,8 +73,10 @@
 
 auto DirectoryTask::apply(DirectorySource source, const DirectoryPage &page) -> void
 {
+    auto former = std::map<std::string, WorkerReport>();
     if (page.isWhole && source == DirectorySource::Workers) {
-        view_.workers.clear();
+        former.swap(view_.workers);
+        view_.since = view_.since == 0 ? bootMs() : view_.since;
     }
     if (page.isWhole && source == DirectorySource::Operators) {
         view_.evacuatedZones.clear();
@@ -84,8 +86,9 @@
         if (const auto *worker = std::get_if<WorkerChanged>(&change)) {
             if (worker->report) {
                 view_.workers[worker->id] = *worker->report;
-            } else {
-                view_.workers.erase(worker->id);
+                view_.removed.erase(worker->id);
+            } else if (view_.workers.erase(worker->id) > 0) {
+                view_.removed[worker->id] = bootMs();
             }
         } else if (const auto *rules = std::get_if<CatalogChanged>(&change)) {
             if (rules->rules.version > view_.catalog.version()) {
@@ -113,6 +116,11 @@
             }
         }
     }
+    for (const auto &[id, report] : former) {
+        if (!view_.workers.contains(id)) {
+            view_.removed[id] = bootMs();
+        }
+    }
     if (!page.changes.empty()) {
         changed.emit();
     }
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -291,6 +291,7 @@
     auto refresh() -> void;
     auto tick() -> void;
     auto isInTerm() const -> bool;
+    auto holder() const -> MachineHolder;
     auto perform(const ListMachines &action) -> void;
     auto perform(const MoveMachine &action) -> void;
     auto perform(const MaintainMachine &action) -> void;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -10,6 +10,16 @@
 {
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Fleet view
+//-----------------------------------------------------------------------------
+
+auto FleetView::missingSince(const std::string &worker) const -> TimeMs
+{
+    const auto found = removed.find(worker);
+    return found == removed.end() ? since : found->second;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Scheduler
 //-----------------------------------------------------------------------------
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -41,6 +41,7 @@
     TimeMs orderRetryMs = 300;      // After an order without an answer.
     TimeMs caretakerMs = 3'000;     // An owner without the store extends leases that much longer.
     TimeMs cordonPatienceMs = 5'000; // Timed tasks on a worker that is emptied may go on that long.
+    TimeMs missingMs = 2'000;       // All nodes see within that that a worker's entry went.
     TimeMs flushGapMs = 10;         // Least time between appends. Batches changes.
     TimeMs journalStallMs = 600;    // New jobs are refused while an append is older than that.
     TimeMs stopMs = 200;            // A worker ends a stopped run within that.
@@ -59,6 +60,11 @@
     std::set<std::string>               evacuatedZones;
     std::map<std::string, WaveOrder>    waves;
     std::map<std::string, WorkerReport> workers; // By id.
+    std::map<std::string, TimeMs>       removed; // Workers whose entry went, and when.
+    TimeMs                              since = 0; // Workers are known from then on.
+
+    // Returns since when a worker isn't listed, as far as is known here.
+    auto missingSince(const std::string &worker) const -> TimeMs;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -82,11 +82,17 @@
 // Returns when everything on a silent worker is over for sure, on our clock.
 auto PoolScheduler::State::lapsedBy(const Worker &worker) const -> TimeMs
 {
+    const auto lease =
+        static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError) + kClockSlackMs;
     if (!worker.isAsked || worker.clockAt == 0) {
-        // The former owner may have extended leases until its own limit.
-        return ownedSince_ + settings_.caretakerMs
-            + static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError)
-            + kClockSlackMs;
+        // The former owner may have extended leases until its own limit; but no owner extends those
+        // of a worker whose entry it has seen go.
+        const auto byOwner = ownedSince_ + settings_.caretakerMs + lease;
+        if (worker.isListed) {
+            return byOwner;
+        }
+        return std::min(byOwner,
+                        view_.missingSince(worker.peer.id) + settings_.missingMs + lease);
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
     return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
@@ -168,6 +174,7 @@
     order.checkpoint = task.checkpoint;
     order.leaseUntilMs = extendLease(now, worker);
     order.token = identity_.token;
+    order.sendBy = termUntil_;
     run.isSent = true;
     run.isOrderOut = true;
     ++run.attempts;
@@ -305,7 +312,7 @@
         });
         hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
     }
-    if (worker.clockAt > 0 && worker.holdFailures == 0
+    if (worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
         && now.steadyMs < termUntil_ + settings_.caretakerMs) {
         hold.order.leaseUntilMs = extendLease(now, worker);
     }
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -168,6 +168,7 @@
     std::string  ticket;     // Of the advice service. Empty: none is needed.
     TimeMs       leaseUntilMs = 0; // On the worker's clock.
     std::int64_t token = 0;        // Fencing token.
+    TimeMs       sendBy = 0;       // The owner's term ends then, on its steady clock.
 };
 
 struct StopOrder {
@@ -262,6 +263,7 @@
 struct MachineHolder {
     std::string  name;
     std::int64_t token = 0;
+    TimeMs       sendBy = 0; // The holder's term ends then, on its steady clock.
 };
 
 class MachineService
