--- /dev/null
+++ b/tests/unit/pool_world.cpp
@@ -0,0 +1,431 @@
+#include "pool_world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peridotwalk {
+
+namespace {
+
+constexpr TimeMs kStepMs = 10;
+constexpr TimeMs kCallMs = 3;
+constexpr TimeMs kAnswerTimeoutMs = 700;
+constexpr TimeMs kEntryGoesMs = 4'500;
+constexpr TimeMs kTermMs = 2'300;
+
+auto text(const TaskRef &task) -> std::string
+{
+    return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step, task.index);
+}
+
+} // namespace
+
+auto makeStep(std::int64_t count, TimeMs estimateMs) -> StepSpec
+{
+    auto step = StepSpec{};
+    step.count = count;
+    step.need = {1'000, 1'000, 0};
+    step.estimateMs = estimateMs;
+    return step;
+}
+
+auto makeJob(std::string id, std::vector<StepSpec> steps) -> JobSpec
+{
+    auto job = JobSpec{};
+    job.id = std::move(id);
+    job.queue = "queue";
+    job.pool = "pool";
+    job.payload = "payload of " + job.id;
+    job.steps = std::move(steps);
+    return job;
+}
+
+PoolWorld::PoolWorld(std::uint64_t seed, WorldFaults faults, int workers)
+    : random_(seed), faults_(faults)
+{
+    auto rules = CatalogRules{};
+    rules.version = 1;
+    auto queue = QueueRule{};
+    queue.name = "queue";
+    queue.pool = "pool";
+    queue.maxAttempts = 2;
+    rules.queues.push_back(queue);
+    rules.pools.push_back({"pool", false, false});
+    view_.catalog = Catalog(rules);
+    view_.since = now_.steadyMs;
+    for (auto number = 0; number < workers; ++number) {
+        auto  id = fmt::format("w{}", number);
+        auto &worker = workers_[id];
+        worker.report.id = id;
+        worker.report.pool = "pool";
+        worker.report.address = id;
+        worker.report.zone = number % 2 == 0 ? "a" : "b";
+        worker.report.capacity = {4'000, 16'000, 0};
+        worker.report.rack = fmt::format("r{}", number / 2);
+        worker.bornAt = now_.steadyMs - 50'000;
+        view_.workers[id] = worker.report;
+    }
+    takeOver();
+}
+
+auto PoolWorld::later(TimeMs delay, std::function<void()> action) -> void
+{
+    events_.emplace(now_.steadyMs + delay, std::move(action));
+}
+
+auto PoolWorld::takeOver() -> void
+{
+    ++epoch_;
+    sequence_ = 0;
+    auto records = std::vector<KeyedRecord>();
+    for (const auto &[key, value] : journal_) {
+        records.push_back({key, value});
+    }
+    auto restored = restoreJobs(records);
+    for (const auto &error : restored.errors) {
+        fail(error.ToString());
+    }
+    owner_ = std::make_unique<PoolScheduler>(PoolIdentity{"pool", epoch_}, settings_, view_);
+    owner_->setTerm(now_.steadyMs + kTermMs);
+    owner_->restore(now_, std::move(restored.jobs));
+    handles_.clear();
+}
+
+auto PoolWorld::changeView(const std::function<void(FleetView &)> &change) -> void
+{
+    change(view_);
+    owner_->onViewChanged(now_);
+}
+
+auto PoolWorld::submit(JobSpec spec) -> void
+{
+    specs_[spec.id] = spec;
+    handles_[++lastHandle_] = spec.id;
+    owner_->submit(now_, lastHandle_, std::move(spec));
+    drain();
+}
+
+auto PoolWorld::cancel(const std::string &id) -> void
+{
+    handles_[++lastHandle_] = "";
+    owner_->cancel(now_, lastHandle_, id);
+    drain();
+}
+
+auto PoolWorld::direct(const PoolDirection &direction) -> void
+{
+    owner_->direct(now_, direction);
+    drain();
+}
+
+auto PoolWorld::crash(const std::string &id) -> void
+{
+    auto &worker = workers_.at(id);
+    worker.isUp = false;
+    worker.running.clear();
+    // Ends that no owner has acknowledged are lost with the worker: their tasks may run again.
+    for (const auto &ended : worker.ended) {
+        done_[ended.task] -= ended.end == RunEnd::Done ? 1 : 0;
+        failed_[ended.task] -= ended.end == RunEnd::Failed ? 1 : 0;
+    }
+    worker.ended.clear();
+    later(kEntryGoesMs, [this, id] {
+        changeView([&](FleetView &view) {
+            view.workers.erase(id);
+            view.removed[id] = now_.steadyMs;
+        });
+    });
+}
+
+auto PoolWorld::run(TimeMs ms) -> void
+{
+    for (const auto until = now_.steadyMs + ms; now_.steadyMs < until;) {
+        step();
+    }
+}
+
+auto PoolWorld::step() -> void
+{
+    now_.steadyMs += kStepMs;
+    now_.wallMs += kStepMs;
+    const auto fate = std::uniform_int_distribution(1, 1'000)(random_);
+    if (fate <= faults_.takeovers) {
+        takeOver();
+    } else if (fate <= faults_.takeovers + faults_.crashes) {
+        auto up = std::vector<std::string>();
+        for (const auto &[id, worker] : workers_) {
+            if (worker.isUp) {
+                up.push_back(id);
+            }
+        }
+        if (up.size() > 2) { // Someone has to be left to do the work.
+            crash(up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(random_)]);
+        }
+    }
+    for (auto &[id, worker] : workers_) {
+        for (std::size_t index = 0; index < worker.running.size();) {
+            const auto &run = worker.running[index];
+            if (clockOf(worker) > worker.leaseUntil) {
+                finish(worker, index, RunEnd::Lapsed);
+            } else if (run.endsAt > 0 && now_.steadyMs >= run.endsAt) {
+                finish(worker, index,
+                       chance(faults_.failingRuns) ? RunEnd::Failed : RunEnd::Done);
+            } else {
+                ++index;
+            }
+        }
+    }
+    while (!events_.empty() && events_.begin()->first <= now_.steadyMs) {
+        const auto action = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        action();
+        drain();
+    }
+    owner_->setTerm(now_.steadyMs + kTermMs);
+    owner_->tick(now_);
+    drain();
+}
+
+auto PoolWorld::drain() -> void
+{
+    while (true) {
+        const auto actions = owner_->takeActions();
+        if (actions.empty()) {
+            return;
+        }
+        for (const auto &action : actions) {
+            std::visit([this](const auto &one) { perform(one); }, action);
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Workers
+//-----------------------------------------------------------------------------
+
+auto PoolWorld::finish(FakeWorker &worker, std::size_t index, RunEnd end) -> void
+{
+    const auto run = worker.running[index];
+    worker.running.erase(worker.running.begin() + static_cast<std::ptrdiff_t>(index));
+    worker.voided[run.task] = std::max(worker.voided[run.task], run.run);
+    worker.ended.push_back({++worker.lastEnd, run.task, run.run, end, ""});
+    if (end == RunEnd::Done) {
+        ++done_[run.task];
+        everDone_.insert(run.task);
+    }
+    if (end == RunEnd::Failed) {
+        ++failed_[run.task];
+    }
+}
+
+auto PoolWorld::applyStart(FakeWorker &worker, const StartOrder &order) -> OrderReply
+{
+    const auto clock = clockOf(worker);
+    if (order.token < worker.token) {
+        return {CallOutcome::Fenced, StartRefusal::Fenced, clock};
+    }
+    worker.token = order.token;
+    for (const auto &run : worker.running) {
+        if (run.task == order.task && run.run == order.run) {
+            return {CallOutcome::Done, StartRefusal::None, clock};
+        }
+    }
+    if (order.run <= worker.voided[order.task]) {
+        return {CallOutcome::Refused, StartRefusal::Old, clock};
+    }
+    if (order.leaseUntilMs < clock) {
+        return {CallOutcome::Refused, StartRefusal::Late, clock};
+    }
+    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntilMs);
+    if (startGuard) {
+        if (auto what = startGuard(order); !what.empty()) {
+            fail(what);
+        }
+    }
+    auto used = ResourceSet{};
+    for (const auto &run : worker.running) {
+        used += specs_.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)].need;
+    }
+    const auto &spec = specs_.at(order.task.job);
+    const auto &step = spec.steps[static_cast<std::size_t>(order.task.step)];
+    used += step.need;
+    if (!used.fits(worker.report.capacity)) {
+        fail("over capacity: " + text(order.task));
+    }
+    if (isRunning(order.task)) {
+        fail("runs twice: " + text(order.task));
+    }
+    if (done_[order.task] > 0) {
+        fail("started after it was done: " + text(order.task));
+    }
+    if (failed_[order.task] >= 2) {
+        fail("too many attempts: " + text(order.task));
+    }
+    if (spec.payload != order.payload) {
+        fail("wrong payload: " + text(order.task));
+    }
+    for (const auto earlier : step.after) {
+        for (std::int64_t index = 0; index < spec.steps[static_cast<std::size_t>(earlier)].count;
+             ++index) {
+            if (!everDone_.contains({order.task.job, order.task.occurrence, earlier, index})) {
+                fail("started before its turn: " + text(order.task));
+            }
+        }
+    }
+    ++starts_[order.task];
+    worker.running.push_back(
+        {order.task, order.run, step.isLongRunning ? 0 : now_.steadyMs + step.estimateMs});
+    return {CallOutcome::Done, StartRefusal::None, clock};
+}
+
+auto PoolWorld::applyStop(FakeWorker &worker, const StopOrder &order) -> OrderReply
+{
+    if (order.token < worker.token) {
+        return {CallOutcome::Fenced, StartRefusal::Fenced, clockOf(worker)};
+    }
+    worker.token = order.token;
+    worker.voided[order.task] = std::max(worker.voided[order.task], order.run);
+    for (std::size_t index = 0; index < worker.running.size(); ++index) {
+        if (worker.running[index].task == order.task && worker.running[index].run <= order.run) {
+            finish(worker, index, RunEnd::Stopped);
+            break;
+        }
+    }
+    return {CallOutcome::Done, StartRefusal::None, clockOf(worker)};
+}
+
+auto PoolWorld::applyHold(FakeWorker &worker, const HoldOrder &order) -> HoldReply
+{
+    auto reply = HoldReply{};
+    reply.clockMs = clockOf(worker);
+    reply.bornMs = worker.bornAt + 1'000'000;
+    if (order.token < worker.token) {
+        reply.outcome = CallOutcome::Fenced;
+        return reply;
+    }
+    worker.token = order.token;
+    if (order.leaseUntilMs) {
+        worker.leaseUntil = std::max(worker.leaseUntil, *order.leaseUntilMs);
+    }
+    while (!worker.ended.empty() && worker.ended.front().number <= order.ackCursor) {
+        worker.ended.pop_front();
+    }
+    for (const auto &run : worker.running) {
+        reply.running.push_back({run.task, run.run, "", 100, 0});
+    }
+    reply.ended.assign(worker.ended.begin(), worker.ended.end());
+    reply.outcome = CallOutcome::Done;
+    return reply;
+}
+
+//-----------------------------------------------------------------------------
+// Actions
+//-----------------------------------------------------------------------------
+
+auto PoolWorld::perform(const AppendJournal &action) -> void
+{
+    const auto epoch = epoch_;
+    later(kCallMs, [this, action, epoch] {
+        if (epoch != epoch_) {
+            return; // The store refuses a former owner, and the owner is gone.
+        }
+        if (isStoreDown_) {
+            owner_->onAppended(now_, action.sequence, CallOutcome::Refused);
+            return;
+        }
+        if (action.sequence == sequence_ + 1) {
+            sequence_ = action.sequence;
+            for (const auto &record : action.records) {
+                journal_[record.key] = record.value;
+            }
+        }
+        const auto isLost = chance(faults_.lostAppends);
+        owner_->onAppended(now_, action.sequence,
+                           isLost ? CallOutcome::Unknown : CallOutcome::Done);
+    });
+}
+
+auto PoolWorld::perform(const AnswerCaller &action) -> void
+{
+    const auto found = handles_.find(action.handle);
+    if (found != handles_.end() && action.verdict == JobVerdict::Accepted) {
+        accepted_.insert(found->second);
+    }
+}
+
+auto PoolWorld::perform(const SendStart &action) -> void
+{
+    const auto epoch = epoch_;
+    auto      &worker = workers_.at(action.worker.id);
+    const auto isLost = chance(faults_.lostAnswers);
+    const auto isLate = isLost && chance(faults_.lateOrders);
+    const auto delay = isLate ? std::uniform_int_distribution<TimeMs>(2'000, 6'000)(random_) : kCallMs;
+    later(delay, [this, &worker, action, epoch, isLost] {
+        const auto reply = worker.isUp ? applyStart(worker, action.order) : OrderReply{};
+        if (!isLost && worker.isUp && epoch == epoch_) {
+            owner_->onStarted(now_, action, reply);
+        }
+    });
+    if (isLost || !worker.isUp) {
+        later(kAnswerTimeoutMs, [this, action, epoch] {
+            if (epoch == epoch_) {
+                owner_->onStarted(now_, action, {});
+            }
+        });
+    }
+}
+
+auto PoolWorld::perform(const SendStop &action) -> void
+{
+    const auto epoch = epoch_;
+    auto      &worker = workers_.at(action.worker.id);
+    const auto isLost = !worker.isUp || chance(faults_.lostAnswers);
+    later(isLost ? kAnswerTimeoutMs : kCallMs, [this, &worker, action, epoch, isLost] {
+        const auto reply = worker.isUp ? applyStop(worker, action.order) : OrderReply{};
+        if (epoch == epoch_) {
+            owner_->onStopped(now_, action, isLost ? OrderReply{} : reply);
+        }
+    });
+}
+
+auto PoolWorld::perform(const SendPace & /*action*/) -> void { }
+
+// Answers at once, or after the wait: the fake doesn't wake a waiting hold early.
+auto PoolWorld::perform(const SendHold &action) -> void
+{
+    const auto epoch = epoch_;
+    auto      &worker = workers_.at(action.worker.id);
+    const auto isLost = !worker.isUp || chance(faults_.lostAnswers);
+    later(isLost ? kAnswerTimeoutMs : kCallMs + action.order.waitMs / 10,
+          [this, &worker, action, epoch, isLost] {
+              const auto reply = worker.isUp ? applyHold(worker, action.order) : HoldReply{};
+              if (epoch == epoch_) {
+                  owner_->onHeld(now_, action, isLost ? HoldReply{} : reply);
+              }
+          });
+}
+
+auto PoolWorld::perform(const NoteRun & /*action*/) -> void { }
+
+auto PoolWorld::doneEnds(const TaskRef &task) const -> int
+{
+    const auto found = done_.find(task);
+    return found == done_.end() ? 0 : found->second;
+}
+
+auto PoolWorld::starts(const TaskRef &task) const -> int
+{
+    const auto found = starts_.find(task);
+    return found == starts_.end() ? 0 : found->second;
+}
+
+auto PoolWorld::isRunning(const TaskRef &task) const -> bool
+{
+    return std::ranges::any_of(workers_, [&](const auto &item) {
+        return std::ranges::any_of(item.second.running,
+                                   [&](const auto &run) { return run.task == task; });
+    });
+}
+
+} // namespace peridotwalk
--- /dev/null
+++ b/tests/unit/test_pool.cpp
@@ -0,0 +1,327 @@
+// Promises of a pool's scheduler: nothing accepted is lost, no task runs twice or over a worker's room,
+// steps keep their order, ends are counted once. Directed cases first, then seeded schedules.
+
+#include "pool_world.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+
+using namespace peridotwalk;
+
+namespace {
+
+auto after(StepSpec step, std::vector<std::int64_t> earlier) -> StepSpec
+{
+    step.after = std::move(earlier);
+    return step;
+}
+
+auto lasting(std::int64_t count) -> StepSpec
+{
+    auto step = makeStep(count, 0);
+    step.isLongRunning = true;
+    return step;
+}
+
+auto expectKept(const PoolWorld &world) -> void
+{
+    for (const auto &what : world.broken()) {
+        cr_log_error("%s", what.c_str());
+    }
+    cr_assert(world.broken().empty());
+}
+
+auto firstTask(const std::string &job) -> TaskRef
+{
+    return {job, 0, 0, 0};
+}
+
+} // namespace
+
+Test(pool, runs_steps_in_order_and_completes)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {makeStep(5, 300), after(makeStep(2, 200), {0})}));
+    world.run(3'000);
+    cr_assert(world.accepted().contains("a"));
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+    expectKept(world);
+}
+
+Test(pool, accepts_nothing_before_the_journal_has_it)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.setStoreDown(true);
+    world.submit(makeJob("a", {makeStep(1, 300)}));
+    world.run(2'000);
+    cr_assert(world.accepted().empty());
+    cr_assert_eq(world.starts(firstTask("a")), 0);
+    world.setStoreDown(false);
+    world.run(2'000);
+    cr_assert(world.accepted().contains("a"));
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+}
+
+Test(pool, a_second_submission_of_an_id_stays_one_job)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {makeStep(2, 300)}));
+    world.submit(makeJob("a", {makeStep(2, 300)}));
+    world.run(2'000);
+    world.takeOver();
+    world.submit(makeJob("a", {makeStep(2, 300)}));
+    world.run(2'000);
+    cr_assert_eq(world.starts(firstTask("a")), 1);
+    expectKept(world);
+}
+
+Test(pool, a_cancelled_job_stops_and_stays_cancelled_after_a_takeover)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {makeStep(3, 60'000)}));
+    world.run(1'000);
+    cr_assert(world.isRunning(firstTask("a")));
+    world.cancel("a");
+    world.run(1'000);
+    cr_assert_not(world.isRunning(firstTask("a")));
+    world.takeOver();
+    world.run(3'000);
+    cr_assert(world.owner().jobState("a") == JobState::Cancelled);
+    cr_assert_not(world.isRunning(firstTask("a")));
+    expectKept(world);
+}
+
+Test(pool, a_job_fails_after_its_attempts_and_not_before)
+{
+    auto world = PoolWorld(1, {.failingRuns = 100}, 3);
+    world.submit(makeJob("a", {makeStep(1, 200)}));
+    world.run(4'000);
+    cr_assert(world.owner().jobState("a") == JobState::Failed);
+    cr_assert_eq(world.starts(firstTask("a")), 2);
+    expectKept(world);
+}
+
+Test(pool, a_new_owner_goes_on_with_what_runs)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {makeStep(4, 3'000)}));
+    world.run(1'000);
+    world.takeOver();
+    world.run(4'000);
+    cr_assert_eq(world.starts(firstTask("a")), 1);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+    expectKept(world);
+}
+
+Test(pool, work_of_a_crashed_worker_starts_again_once_its_lease_is_over)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {lasting(3)}));
+    world.run(1'000);
+    world.crash("w0");
+    world.crash("w1");
+    world.run(5'000);
+    world.takeOver(); // It doesn't know when the leases were extended last.
+    world.run(9'000); // 4.5 s until the entries go, 2 s until all nodes see that, 6.5 s of lease.
+    for (std::int64_t index = 0; index < 3; ++index) {
+        cr_assert(world.isRunning({"a", 0, 0, index}));
+    }
+    expectKept(world);
+}
+
+// The wait for a silent worker must not begin anew with each owner.
+Test(pool, owners_that_change_in_a_row_dont_push_a_lapse_ahead)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {lasting(6)}));
+    world.run(1'000);
+    world.crash("w0");
+    for (auto owner = 0; owner < 4; ++owner) {
+        world.run(4'000);
+        world.takeOver();
+    }
+    world.run(1'000);
+    for (std::int64_t index = 0; index < 6; ++index) {
+        cr_assert(world.isRunning({"a", 0, 0, index}));
+    }
+    expectKept(world);
+}
+
+Test(pool, draining_and_evacuated_workers_get_no_new_runs)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.run(500);
+    world.changeView([](FleetView &view) {
+        view.workers.at("w0").isDraining = true;
+        view.evacuatedZones.insert("b"); // Of w1.
+    });
+    world.submit(makeJob("a", {makeStep(1, 300)}));
+    world.run(2'000);
+    cr_assert_eq(world.starts(firstTask("a")), 0);
+    world.changeView([](FleetView &view) { view.evacuatedZones.clear(); });
+    world.run(2'000);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+}
+
+Test(pool, a_step_keeps_its_maximum_per_worker)
+{
+    auto world = PoolWorld(1, {}, 2);
+    auto step = makeStep(4, 1'000);
+    step.maxPerWorker = 1;
+    world.submit(makeJob("a", {step}));
+    world.run(600);
+    for (const auto &[id, worker] : world.workers()) {
+        cr_assert_eq(worker.running.size(), 1U);
+    }
+    world.run(3'000);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+}
+
+Test(pool, a_gang_starts_whole_or_not_at_all)
+{
+    auto world = PoolWorld(1, {}, 2); // Room for 8 tasks.
+    auto gang = makeStep(6, 500);
+    gang.isGang = true;
+    world.submit(makeJob("a", {makeStep(4, 1'000)}));
+    world.run(200);
+    world.submit(makeJob("b", {gang}));
+    world.run(400);
+    cr_assert_eq(world.starts(firstTask("b")), 0);
+    world.run(3'000);
+    cr_assert(world.owner().jobState("b") == JobState::Completed);
+    expectKept(world);
+}
+
+Test(pool, a_tenant_runs_no_more_than_its_allowance)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.changeView([](FleetView &view) {
+        auto rules = view.catalog.rules();
+        rules.tenants.push_back({"team", {"key"}, 1, {8'000, 0, 0}});
+        view.catalog = Catalog(rules);
+    });
+    auto job = makeJob("a", {makeStep(8, 1'000)});
+    job.tenant = "team";
+    world.submit(job);
+    world.run(500);
+    cr_assert_eq(world.owner().countRuns(), 0U); // Nothing was granted yet.
+    world.direct({1, {{"team", {3'000, 0, 0}}}, {}});
+    world.run(500);
+    cr_assert_eq(world.owner().countRuns(), 3U);
+    cr_assert(world.owner().report().tenants.front().used.cpu == 3'000);
+}
+
+Test(pool, a_cordoned_worker_is_emptied_within_the_budget)
+{
+    auto world = PoolWorld(1, {}, 3);
+    auto step = lasting(4);
+    step.maxUnavailable = 1;
+    world.submit(makeJob("a", {step}));
+    world.run(1'500);
+    auto busy = std::string();
+    for (const auto &[id, worker] : world.workers()) {
+        busy = worker.running.empty() ? busy : id;
+    }
+    world.direct({1, {}, {busy}});
+    for (auto round = 0; round < 400; ++round) {
+        world.run(10);
+        std::int64_t away = 0;
+        for (std::int64_t index = 0; index < 4; ++index) {
+            away += world.isRunning({"a", 0, 0, index}) ? 0 : 1;
+        }
+        cr_assert_leq(away, 1);
+    }
+    cr_assert(world.workers().at(busy).running.empty());
+    for (std::int64_t index = 0; index < 4; ++index) {
+        cr_assert(world.isRunning({"a", 0, 0, index}));
+    }
+}
+
+// Small timed tasks take every gap before it is large enough for a lasting task.
+Test(pool, a_lasting_task_finds_room_among_small_timed_ones)
+{
+    auto world = PoolWorld(1, {}, 2);
+    for (auto number = 0; number < 40; ++number) {
+        world.submit(makeJob(fmt::format("t{}", number), {makeStep(4, 700)}));
+    }
+    world.run(1'000);
+    auto large = lasting(1);
+    large.need = {3'500, 1'000, 0};
+    world.submit(makeJob("a", {large}));
+    world.run(2'500);
+    cr_assert(world.isRunning(firstTask("a")));
+    expectKept(world);
+}
+
+//-----------------------------------------------------------------------------
+// Seeded schedules
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr int kSeeds = 60;
+
+// Submits jobs into an unkind world, lets it calm down, and expects every promise kept.
+auto playSchedule(std::uint64_t seed, WorldFaults faults) -> void
+{
+    auto random = pcg32(seed);
+    auto world = PoolWorld(seed, faults, 6);
+    auto jobs = std::vector<std::string>();
+    for (auto number = 0; number < 12; ++number) {
+        auto steps = std::vector<StepSpec>();
+        const auto count = std::uniform_int_distribution(1, 3)(random);
+        for (auto step = 0; step < count; ++step) {
+            steps.push_back(makeStep(std::uniform_int_distribution(1, 5)(random),
+                                     std::uniform_int_distribution<TimeMs>(100, 2'500)(random)));
+            if (step > 0) {
+                steps.back().after = {step - 1};
+            }
+        }
+        jobs.push_back(fmt::format("job{}", number));
+        world.submit(makeJob(jobs.back(), steps));
+        world.run(std::uniform_int_distribution<TimeMs>(50, 1'500)(random));
+    }
+    world.run(90'000);
+    for (const auto &what : world.broken()) {
+        cr_log_error("seed %lu: %s", static_cast<unsigned long>(seed), what.c_str());
+    }
+    cr_assert(world.broken().empty());
+    for (const auto &job : jobs) {
+        const auto state = world.owner().jobState(job);
+        if (world.accepted().contains(job)) {
+            cr_assert(state.has_value(), "seed %lu: %s is lost", static_cast<unsigned long>(seed),
+                      job.c_str());
+            cr_assert(*state >= JobState::Completed, "seed %lu: %s isn't over",
+                      static_cast<unsigned long>(seed), job.c_str());
+        }
+    }
+}
+
+auto playSeeds(WorldFaults faults) -> void
+{
+    const auto *chosen = std::getenv("PERIDOTWALK_SEED");
+    const auto  first = chosen == nullptr ? 1 : std::atoi(chosen);
+    const auto  last = chosen == nullptr ? kSeeds : first;
+    for (auto seed = first; seed <= last; ++seed) {
+        playSchedule(static_cast<std::uint64_t>(seed), faults);
+    }
+}
+
+} // namespace
+
+Test(pool_schedules, lost_answers_and_late_orders)
+{
+    playSeeds({.lostAnswers = 10, .lateOrders = 50, .lostAppends = 10});
+}
+
+Test(pool_schedules, owners_change_while_answers_are_lost)
+{
+    playSeeds({.lostAnswers = 5, .lostAppends = 10, .takeovers = 3});
+}
+
+Test(pool_schedules, workers_crash_while_owners_change)
+{
+    playSeeds({.lostAppends = 5, .crashes = 1, .takeovers = 2});
+}
