--- /dev/null
+++ b/tests/unit/test_coordinator.cpp
@@ -0,0 +1,284 @@
+// What is decided across pools: no tenant gets more than its maximum, machines are called only when they
+// are empty and cordoned, a wave keeps its limit, holders of machines leave a gap.
+
+#include "coordinator/coordinator.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <pcg_random.hpp>
+
+#include <algorithm>
+
+using namespace peridotwalk;
+
+namespace {
+
+constexpr TimeMs kStartMs = 100'000;
+
+auto makeCatalog(std::int64_t maximumCpu) -> Catalog
+{
+    auto rules = CatalogRules{};
+    rules.version = 1;
+    for (const auto *pool : {"p", "q"}) {
+        auto queue = QueueRule{};
+        queue.name = pool;
+        queue.pool = pool;
+        rules.queues.push_back(queue);
+        rules.pools.push_back({pool, false, false});
+    }
+    rules.pools.push_back({"standby", false, true});
+    rules.tenants.push_back({"team", {"key"}, 1, {maximumCpu, 0, 0}});
+    return Catalog(rules);
+}
+
+auto makeReport(const std::string &pool, std::int64_t allowance, std::int64_t used,
+                std::int64_t wanted) -> PoolReport
+{
+    auto report = PoolReport{};
+    report.pool = pool;
+    report.token = 1;
+    report.tenants.push_back({"team", {allowance, 0, 0}, {used, 0, 0}, {wanted, 0, 0}});
+    report.perWorker = {64'000, 256'000, 0};
+    return report;
+}
+
+// A planner with machines m0.. in pool "p", on workers w0..
+class Fleet
+{
+public:
+    explicit Fleet(int machines, PlannerSettings settings = {}) : planner_(settings)
+    {
+        planner_.begin(kStartMs);
+        planner_.setCatalog(makeCatalog(0));
+        report_ = makeReport("p", 0, 0, 0);
+        for (auto number = 0; number < machines; ++number) {
+            machines_.push_back({fmt::format("m{}", number), "p", "a", fmt::format("w{}", number),
+                                 {}, MachineState::Up});
+            auto load = WorkerLoad{};
+            load.id = fmt::format("w{}", number);
+            load.runs = 1;
+            load.isUsable = true;
+            report_.workers.push_back(load);
+        }
+    }
+
+    auto planner() -> MachinePlanner & { return planner_; }
+    auto worker(std::size_t number) -> WorkerLoad & { return report_.workers[number]; }
+    auto machine(std::size_t number) -> MachineEntry & { return machines_[number]; }
+    auto report() -> PoolReport & { return report_; }
+
+    // Reports and lists every 100 ms, as the node does, and collects the calls.
+    auto run(TimeMs ms) -> void
+    {
+        for (const auto until = now_ + ms; now_ < until; now_ += 100) {
+            for (auto &worker : report_.workers) {
+                const auto cordoned = planner_.cordonedOf(now_, "p");
+                worker.isCordoned = std::ranges::find(cordoned, worker.id) != cordoned.end();
+            }
+            planner_.onReport(now_, report_);
+            planner_.tick(now_);
+            for (const auto &action : planner_.takeActions()) {
+                if (std::holds_alternative<ListMachines>(action)) {
+                    planner_.onListed(now_, machines_);
+                } else if (const auto *call = std::get_if<MaintainMachine>(&action)) {
+                    maintained.push_back(*call);
+                } else if (const auto *move = std::get_if<MoveMachine>(&action)) {
+                    moved.push_back(*move);
+                } else {
+                    states.push_back(std::get<WriteWaveState>(action));
+                    planner_.onWaveWritten(states.back(), CallOutcome::Done);
+                }
+            }
+        }
+    }
+
+    auto now() const -> TimeMs { return now_; }
+
+    std::vector<MaintainMachine> maintained;
+    std::vector<MoveMachine>     moved;
+    std::vector<WriteWaveState>  states;
+
+private:
+    MachinePlanner            planner_;
+    PoolReport                report_;
+    std::vector<MachineEntry> machines_;
+    TimeMs                    now_ = kStartMs;
+};
+
+auto stayingPut() -> PlannerSettings
+{
+    auto settings = PlannerSettings{};
+    settings.isMoving = false;
+    return settings;
+}
+
+auto makeWave(int machines, std::int64_t maxAtOnce) -> std::map<std::string, WaveOrder>
+{
+    auto order = WaveOrder{"1", {}, 20'000, maxAtOnce};
+    for (auto number = 0; number < machines; ++number) {
+        order.machines.push_back(fmt::format("m{}", number));
+    }
+    return {{"1", order}};
+}
+
+} // namespace
+
+Test(quota, pools_share_a_maximum_by_need)
+{
+    auto       ledger = QuotaLedger();
+    const auto catalog = makeCatalog(10'000);
+    ledger.setPools({"p", "q"});
+    cr_assert_eq(ledger.grant(makeReport("p", 0, 0, 9'000), catalog).front().allowance.cpu, 0);
+    ledger.grant(makeReport("q", 0, 0, 0), catalog);
+    cr_assert_geq(ledger.grant(makeReport("p", 0, 0, 9'000), catalog).front().allowance.cpu, 9'000);
+}
+
+Test(quota, what_a_pool_may_hold_counts_until_it_reports_less)
+{
+    auto       ledger = QuotaLedger();
+    const auto catalog = makeCatalog(10'000);
+    ledger.setPools({"p", "q"});
+    ledger.grant(makeReport("q", 0, 0, 0), catalog);
+    ledger.grant(makeReport("p", 0, 0, 10'000), catalog); // Granted, and perhaps never received.
+    cr_assert_leq(ledger.grant(makeReport("q", 0, 0, 10'000), catalog).front().allowance.cpu, 625);
+    ledger.grant(makeReport("p", 0, 0, 0), catalog); // It wasn't.
+    cr_assert_geq(ledger.grant(makeReport("q", 0, 0, 9'000), catalog).front().allowance.cpu, 9'000);
+}
+
+// Two pools that report, start and end at random, with answers that get lost.
+Test(quota, the_sum_never_exceeds_the_maximum)
+{
+    constexpr std::int64_t kMaximum = 10'000;
+    const auto             catalog = makeCatalog(kMaximum);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        auto random = pcg32(seed);
+        auto ledger = QuotaLedger();
+        ledger.setPools({"p", "q"});
+        auto allowance = std::map<std::string, std::int64_t>{{"p", 0}, {"q", 0}};
+        auto used = allowance;
+        for (auto round = 0; round < 400; ++round) {
+            const auto *pool = random(2) == 0 ? "p" : "q";
+            const auto  wanted = static_cast<std::int64_t>(random(12'000));
+            if (random(50) == 0) {
+                ledger = QuotaLedger(); // A new coordinator.
+                ledger.setPools({"p", "q"});
+            }
+            const auto grants = ledger.grant(makeReport(pool, allowance[pool], used[pool], wanted), catalog);
+            if (random(5) != 0) {
+                allowance[pool] = grants.front().allowance.cpu;
+            }
+            used[pool] = std::max<std::int64_t>(
+                used[pool] - random(2'000),
+                std::min(allowance[pool], used[pool] + static_cast<std::int64_t>(random(4'000))));
+            used[pool] = std::max<std::int64_t>(0, used[pool]);
+            cr_assert_leq(used["p"] + used["q"], kMaximum, "seed %lu round %d",
+                          static_cast<unsigned long>(seed), round);
+        }
+    }
+}
+
+Test(planner, a_machine_is_maintained_only_when_it_is_empty_and_cordoned)
+{
+    auto fleet = Fleet(6, stayingPut());
+    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.run(5'000);
+    cr_assert(fleet.maintained.empty());
+    cr_assert(fleet.worker(0).isCordoned);
+    fleet.worker(0).runs = 0;
+    fleet.run(1'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+}
+
+Test(planner, a_wave_keeps_its_limit_while_answers_are_missing)
+{
+    auto fleet = Fleet(9, stayingPut());
+    for (std::size_t number = 0; number < 9; ++number) {
+        fleet.worker(number).runs = 0;
+    }
+    fleet.planner().setWaves(fleet.now(), makeWave(9, 2));
+    fleet.run(5'000);
+    cr_assert_eq(fleet.maintained.size(), 2U); // Called, and nobody knows whether they are down.
+    for (const auto &call : fleet.maintained) {
+        fleet.planner().onMaintained(fleet.now(), call, {CallOutcome::Unknown, MachineRefusal::None});
+    }
+    fleet.run(2'000);
+    cr_assert_eq(fleet.maintained.size(), 2U);
+}
+
+Test(planner, a_wave_is_completed_only_after_each_machine_was_maintained)
+{
+    auto fleet = Fleet(3, stayingPut());
+    for (std::size_t number = 0; number < 3; ++number) {
+        fleet.worker(number).runs = 0;
+    }
+    fleet.planner().setWaves(fleet.now(), makeWave(3, 1));
+    std::size_t answered = 0;
+    for (auto round = 0; round < 60; ++round) {
+        fleet.run(500);
+        const auto isCompleted = std::ranges::any_of(fleet.states, &WriteWaveState::isCompleted);
+        cr_assert(!isCompleted || answered == 3);
+        if (fleet.maintained.size() > answered) {
+            const auto call = fleet.maintained[answered++];
+            fleet.planner().onMaintained(fleet.now(), call, {CallOutcome::Done, MachineRefusal::None});
+        }
+    }
+    cr_assert_eq(answered, 3U);
+    cr_assert(std::ranges::any_of(fleet.states, &WriteWaveState::isCompleted));
+}
+
+Test(planner, a_new_holder_leaves_machines_alone_for_a_while)
+{
+    auto fleet = Fleet(3, stayingPut());
+    for (std::size_t number = 0; number < 3; ++number) {
+        fleet.worker(number).runs = 0;
+    }
+    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.run(2'900);
+    cr_assert(fleet.maintained.empty());
+    fleet.run(2'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+}
+
+Test(planner, the_worker_of_a_called_machine_stays_cordoned_after_the_list_has_moved_on)
+{
+    auto fleet = Fleet(9, stayingPut());
+    fleet.worker(0).runs = 0;
+    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.run(5'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    fleet.planner().onMaintained(fleet.now(), fleet.maintained[0],
+                                 {CallOutcome::Done, MachineRefusal::None});
+    fleet.machine(0).worker = "w0-new";
+    fleet.run(2'000);
+    cr_assert(fleet.worker(0).isCordoned); // Its old entry is listed as ready for a while yet.
+}
+
+Test(planner, a_pool_that_cant_use_its_machines_gets_others)
+{
+    auto fleet = Fleet(12);
+    for (std::size_t number = 8; number < 12; ++number) {
+        fleet.machine(number).pool = "standby";
+        fleet.machine(number).worker = "";
+    }
+    for (std::size_t number = 0; number < 6; ++number) {
+        fleet.worker(number).isUsable = false; // In an evacuated zone, say.
+    }
+    fleet.report().workers.resize(8);
+    fleet.report().wanted = {400'000, 0, 0};
+    fleet.run(5'000);
+    cr_assert_eq(fleet.moved.size(), 4U);
+    cr_assert(std::ranges::all_of(fleet.moved, [](const auto &move) { return move.pool == "p"; }));
+}
+
+Test(forecast, expects_the_next_burst_after_two)
+{
+    auto forecast = DemandForecast();
+    for (TimeMs now = 0; now <= 40'000; now += 200) {
+        const auto isBurst = now % 16'000 < 4'000;
+        forecast.add(now, isBurst ? 900 : 20);
+    }
+    cr_assert(forecast.period().has_value());
+    cr_assert_leq(std::abs(*forecast.period() - 16'000), 400);
+    cr_assert_eq(forecast.expected(40'000, forecast.period()), 0);
+    cr_assert_eq(forecast.expected(46'500, forecast.period()), 900);
+}
--- /dev/null
+++ b/tests/unit/test_ownership.cpp
@@ -0,0 +1,61 @@
+// Terms and tokens: a partition held without a break keeps its token; after a break it is taken over anew.
+
+#include "ownership/ownership.h"
+
+#include <criterion/criterion.h>
+
+using namespace peridotwalk;
+
+Test(ownership, keeps_its_token_while_renewals_are_unbroken)
+{
+    auto       ownership = Ownership({});
+    const auto first = ownership.onRenewed(1'000, 1'010, {5, {3, 4}});
+    cr_assert_eq(first.acquired.size(), 2U);
+    cr_assert_eq(first.acquired.at(3), 5);
+    const auto second = ownership.onRenewed(1'700, 1'710, {6, {3}});
+    cr_assert(second.acquired.empty());
+    cr_assert(second.lost.contains(4));
+    cr_assert_eq(ownership.tokens().at(3), 5);
+}
+
+Test(ownership, counts_its_term_from_before_the_renewal_was_sent)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 2'000, {5, {3}});
+    cr_assert_eq(ownership.termUntil(), 1'000 + 2'500 - 200);
+}
+
+Test(ownership, takes_over_anew_after_a_break_in_which_others_may_have_owned)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    const auto change = ownership.onRenewed(9'000, 9'010, {8, {3}});
+    cr_assert(change.lost.contains(3));
+    cr_assert_eq(change.acquired.at(3), 8);
+}
+
+Test(ownership, goes_on_after_an_outage_in_which_the_group_stood_still)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    const auto change = ownership.onRenewed(9'000, 9'010, {5, {3}});
+    cr_assert(change.isEmpty());
+    cr_assert_eq(ownership.tokens().at(3), 5);
+}
+
+// An answer that was on its way while the process stood still must not lengthen its term.
+Test(ownership, a_late_answer_gives_no_more_than_its_renewal)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    ownership.onRenewed(1'700, 8'000, {5, {3}});
+    cr_assert_leq(ownership.termUntil(), 1'700 + 2'500);
+}
+
+Test(ownership, gives_everything_up_when_it_leaves)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3, 4}});
+    cr_assert_eq(ownership.leave().lost.size(), 2U);
+    cr_assert_eq(ownership.termUntil(), 0);
+}
--- /dev/null
+++ b/tests/unit/test_platform.cpp
@@ -0,0 +1,103 @@
+// The adapter: what it reads from outside, good and bad.
+
+#include "platform/platform_internal.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace peridotwalk;
+
+Test(platform, reads_a_job)
+{
+    const auto job = readJob(
+        R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+            {"count":20,"cpu":2000,"memMb":1024,"after":[0],"checkpointing":true,"maxPerServer":2}]})");
+    cr_assert(job.ok());
+    cr_assert_eq(job->steps.size(), 2U);
+    cr_assert_eq(job->steps[0].need.cpu, 500);
+    cr_assert_eq(job->steps[0].preferredRack, "r1-3");
+    cr_assert_eq(job->steps[1].after.front(), 0);
+    cr_assert_eq(job->steps[1].maxPerWorker, 2);
+}
+
+Test(platform, refuses_bad_jobs_and_says_why)
+{
+    for (const auto *body :
+         {"", "{", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+          R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":"4"}]})",
+          R"({"steps":[{"count":100000000}]})", R"({"steps":[{"count":1,"after":[0]}]})",
+          R"({"steps":[{"count":1},{"count":1,"after":[5]}]})",
+          R"({"steps":[{"count":1},{"count":1,"after":[-1]}]})", R"({"steps":7})",
+          R"({"spec":5,"steps":[{"count":1}]})", R"({"steps":[{"count":1,"cpu":-5}]})"}) {
+        cr_assert_not(readJob(body).ok(), "%s", body);
+    }
+    cr_assert_not(readJob(std::string(200'000, '[')).ok());
+    cr_assert_not(readJob(R"({"spec":")" + std::string(5'000, 'x') + R"(","steps":[{"count":1}]})").ok());
+}
+
+Test(platform, reads_a_caller_and_its_key)
+{
+    auto request = HttpRequest{};
+    request.method = "POST";
+    request.path = "/q/5c0e7a21d94b36f8";
+    request.headers = {{"host", "h.example:80"}, {"authorization", "Bearer abc"}, {"x-deadline-ms", "3000"}};
+    const auto call = readCallerCall(request);
+    cr_assert(call.verb == CallerVerb::Submit);
+    cr_assert_eq(call.host, "h.example");
+    cr_assert_eq(call.key, "abc");
+    cr_assert_eq(call.budgetMs, 3'000);
+    cr_assert_eq(*splitJobId(call.path, "/q/"), "5c0e7a21d94b36f8");
+    cr_assert_not(splitJobId("/q/short", "/q/").has_value());
+    cr_assert_not(splitJobId("/q/5c0e7a21d94b36f8/more", "/q/").has_value());
+}
+
+Test(platform, a_worker_entry_of_another_writer_names_no_worker)
+{
+    for (const auto *text : {"", "x", "{}", R"({"service":5})",
+                             R"({"service":"p","address":"a","zone":"z","state":"odd","capacity":{},"labels":[]})"}) {
+        cr_assert_not(readWorkerReport("i-1", text).ok(), "%s", text);
+    }
+    const auto good = readWorkerReport(
+        "i-1", R"({"service":"p","address":"10.1.1.1:80","zone":"z","state":"draining","seq":1,
+                   "capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-3"],"born":17})");
+    cr_assert(good.ok());
+    cr_assert(good->isDraining);
+    cr_assert_eq(good->rack, "r1-3");
+    cr_assert_eq(good->bornMs, 17);
+}
+
+Test(platform, keyed_records_come_back_as_they_went)
+{
+    rc::check("keyed records round trip", [](const std::string &value) {
+        const auto packed = packKeyed({"key", value});
+        const auto read = unpackKeyed(std::string_view(packed).substr(4));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->key == "key");
+        RC_ASSERT(read->value == value);
+    });
+}
+
+Test(platform, decoders_survive_any_bytes)
+{
+    const auto isSafe = rc::check("any bytes", [](const std::string &bytes) {
+        (void)unpackKeyed(bytes);
+        (void)unpackChunk(bytes);
+        (void)readJob(bytes);
+        (void)readCatalog(bytes);
+        (void)readWorkerReport("i", bytes);
+        (void)readWave("1", bytes);
+    });
+    cr_assert(isSafe);
+}
+
+Test(platform, reads_a_chunk_of_the_log_and_refuses_a_torn_one)
+{
+    auto body = std::string("\0\0\0\0\0\0\0\x05\0\0\0\0\0\0\0\x02", 16);
+    body += packRecord("one") + packRecord("two");
+    const auto chunk = unpackChunk(body);
+    cr_assert(chunk.has_value());
+    cr_assert_eq(chunk->end, 5);
+    cr_assert_eq(chunk->first, 2);
+    cr_assert_eq(chunk->records.size(), 2U);
+    cr_assert_not(unpackChunk(body.substr(0, body.size() - 1)).has_value());
+}
