--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -3,18 +3,22 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace peridotwalk {
 
 namespace {
 
+constexpr double kHopelessPart = 0.6;   // Of the work left by its estimate.
+constexpr int    kLateObjectives = 3;   // Work counts as late up to that many objectives.
+constexpr double kPackWeight = 0.3;     // Of packing, against balance between cpu and memory.
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
 
-// Returns the longest chain of work from the start, by the steps' estimates.
-auto longestChain(const JobSpec &spec) -> TimeMs
+// Returns the longest chain of work by the steps' estimates: of the whole job, or of what is left.
+auto longestChain(const JobSpec &spec, const Occurrence *progress) -> TimeMs
 {
     auto   ends = std::vector<TimeMs>(spec.steps.size());
     TimeMs longest = 0;
@@ -23,25 +27,48 @@
         for (const auto earlier : spec.steps[step].after) {
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
         }
-        ends[step] = begin + spec.steps[step].estimateMs;
+        const auto isOver =
+            progress != nullptr && isStepDone(*progress, static_cast<std::int64_t>(step));
+        ends[step] = begin + (isOver ? 0 : spec.steps[step].estimateMs);
         longest = std::max(longest, ends[step]);
     }
     return longest;
 }
 
+// Estimates are off by half, so a job counts as hopeless only if it misses by a good part of its work.
+auto standingOf(const QueueRule &queue, const JobSpec &spec, const Occurrence &occurrence,
+                std::int64_t dueMs, std::int64_t nowMs) -> Standing
+{
+    const auto objective = queue.objectiveMs
+        + static_cast<TimeMs>(queue.stretch * static_cast<double>(longestChain(spec, nullptr)));
+    const auto left = static_cast<TimeMs>(
+        kHopelessPart * static_cast<double>(longestChain(spec, &occurrence)));
+    if (nowMs + left <= dueMs + objective) {
+        return Standing::OnTime;
+    }
+    return nowMs + left <= dueMs + kLateObjectives * objective ? Standing::Late : Standing::Expired;
+}
+
 // Returns how much better `worker` is than others for a task; higher wins. Timed work is packed, so
-// that large tasks find room. Serving and filling tasks are kept apart, as they slow each other down.
-auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks,
-             std::int64_t lastingTasks) -> double
+// that large tasks find room, and lasting work is spread, as it takes memory for long. Serving and
+// filling tasks are kept apart, as they slow each other down.
+auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks) -> double
 {
-    const auto room = worker.room();
-    const auto capacity = std::max<std::int64_t>(1, worker.report.capacity.cpu);
-    const auto free = static_cast<double>(room.cpu) / static_cast<double>(capacity);
+    const auto part = [](std::int64_t amount, std::int64_t of) {
+        return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(1, of));
+    };
+    const auto &capacity = worker.report.capacity;
+    const auto  need = roomNeed(step);
+    const auto  cpu = part(worker.room().cpu - need.cpu, capacity.cpu);
+    const auto  memory = part(worker.room().memoryMb - need.memoryMb, capacity.memoryMb);
     if (step.isFiller) {
-        return free - static_cast<double>(servingTasks);
+        return cpu - static_cast<double>(servingTasks);
+    }
+    if (step.isLongRunning) {
+        return std::min(cpu, memory);
     }
-    // Lasting tasks share few workers, so that the others can be emptied.
-    return step.isLongRunning ? static_cast<double>(lastingTasks) + free : -free;
+    // What is left should be of use: both kinds of room, and in few large pieces.
+    return -std::abs(cpu - memory) - kPackWeight * (cpu + memory);
 }
 
 auto countSiblings(const Worker &worker, const TaskRef &ref) -> std::int64_t
@@ -87,9 +114,8 @@
             step.remaining = remainingWork(job.spec, occurrence);
             if (queue != nullptr) {
                 step.priority = queue->priority;
-                const auto objective = queue->stretch * static_cast<double>(longestChain(job.spec));
-                step.isLate =
-                    now.wallMs > step.dueMs + queue->objectiveMs + static_cast<TimeMs>(objective);
+                step.standing =
+                    standingOf(*queue, job.spec, occurrence, step.dueMs, now.wallMs);
             }
             for (step.step = 0; step.step < std::ssize(job.spec.steps); ++step.step) {
                 step.isLongRunning =
@@ -101,7 +127,7 @@
         }
     }
     std::ranges::sort(ready, {}, [](const ReadyStep &step) {
-        return std::tuple(!step.isLongRunning, step.isLate, step.priority, step.remaining,
+        return std::tuple(!step.isLongRunning, step.standing, step.priority, step.remaining,
                           step.dueMs);
     });
     return ready;
@@ -261,13 +287,11 @@
             continue;
         }
         std::int64_t serving = 0;
-        std::int64_t lasting = 0;
         for (const auto &[other, run] : worker.runs) {
             const auto &otherStep = stepOf(jobs_.at(other.job), other);
-            lasting += otherStep.isLongRunning ? 1 : 0;
             serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
         }
-        auto score = fitness(worker, step, serving, lasting);
+        auto score = fitness(worker, step, serving);
         if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
             score += kNearDataFitness;
         }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -101,13 +101,16 @@
 // [SECTION] Scheduler state
 //-----------------------------------------------------------------------------
 
+// What can still come of an occurrence. Better ones go first.
+enum class Standing { OnTime, Late, Expired };
+
 // A step whose tasks may start now.
 struct ReadyStep {
     JobEntry    *entry = nullptr;
     std::int64_t occurrence = 0;
     std::int64_t step = 0;
     bool         isLongRunning = false;
-    bool         isLate = false; // Past its objective; earns little.
+    Standing     standing = Standing::OnTime;
     std::int64_t priority = 0;
     std::int64_t remaining = 0; // Core-milliseconds.
     std::int64_t dueMs = 0;
