Planned hand-overs: the last append names what silent workers may still run, and for how long

Owners changed six times while nodes were rolled, and a node that had just started didn't know when the workers' entries went. Test: pool/planned_hand_overs_in_a_row_dont_push_a_lapse_ahead. Appends under way are finished before a pool is given up, so callers aren't told 504.

--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -213,7 +213,8 @@
         const auto isOver = wave.done.contains(name);
         isDone = isDone && isOver;
         const auto isTaken = machine.wantedWave == wave.order.name;
-        busy += isTaken || isAway(now, machine) ? 1 : 0;
+        const auto isDown = machine.isListed && machine.entry.state == MachineState::Down;
+        busy += isTaken || isDown || isAway(now, machine) ? 1 : 0;
         if (isOver) {
             continue;
         }
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -39,6 +39,7 @@
     PERIDOTWALK_WIRE(TaskRow, v.occurrence, v.step, v.index, v.run, v.endedRun, v.failures,
                      v.isDone, v.checkpoint, v.worker)
     PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
+    PERIDOTWALK_WIRE(HandOver, v.lapsesIn)
     PERIDOTWALK_WIRE(ProgressRow, v.state, v.doneOccurrences, v.done, v.tasks)
 
     } // namespace adaptor
@@ -51,6 +52,7 @@
 
 constexpr char kSpecPrefix = 'j';
 constexpr char kProgressPrefix = 'p';
+constexpr char kHandOverPrefix = 'h';
 
 auto isUntouched(const JobTask &task) -> bool
 {
@@ -176,4 +178,30 @@
     return restored;
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Hand-over
+//-----------------------------------------------------------------------------
+
+auto encodeHandOver(const std::string &pool, const HandOver &note) -> KeyedRecord
+{
+    return {kHandOverPrefix + pool, packWire(note)};
+}
+
+auto dropHandOver(const std::string &pool) -> KeyedRecord
+{
+    return {kHandOverPrefix + pool, ""};
+}
+
+auto findHandOver(const std::string &pool, const std::vector<KeyedRecord> &records)
+    -> std::optional<HandOver>
+{
+    for (const auto &record : records) {
+        if (record.key == kHandOverPrefix + pool && !record.value.empty()) {
+            auto note = unpackWire<HandOver>("journal.handover", record.key, record.value);
+            return note.ok() ? std::optional(*std::move(note)) : std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace peridotwalk
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -3,6 +3,7 @@
 //
 // Index of this file
 // [SECTION] Records
+// [SECTION] Hand-over
 
 #pragma once
 
@@ -27,4 +28,22 @@
 };
 auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Hand-over
+//-----------------------------------------------------------------------------
+
+// What an owner that gives its pool up tells the next one: for each worker, in how many ms at most
+// everything that runs there is over unless its lease is extended. Durations, so that clocks of
+// machines needn't agree: the next owner counts them from its own start.
+struct HandOver {
+    std::map<std::string, TimeMs> lapsesIn; // By worker. Workers that aren't named run nothing.
+};
+
+auto encodeHandOver(const std::string &pool, const HandOver &note) -> KeyedRecord;
+auto dropHandOver(const std::string &pool) -> KeyedRecord; // Before the new owner extends any lease.
+
+// Returns nothing if the last owner of the pool left no note.
+auto findHandOver(const std::string &pool, const std::vector<KeyedRecord> &records)
+    -> std::optional<HandOver>;
+
 } // namespace peridotwalk
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -105,15 +105,13 @@
         logEvent(LogLevel::Info, "node.stopping", {{"open", callers_.open()}});
         stopAt_ = bootMs() + settings_.stopLingerMs;
         callers_.beginStop();
+        ownership_.beginLeave();
+        pools_.handOver(true, [this] { ownership_.leave(); });
         stopTimer_ = std::make_unique<Timer>(loop_, kStopCheckMs, [this] { checkStop(); });
     }
 
     auto checkStop() -> void
     {
-        if (!hasLeft_ && (pools_.isSettled() || bootMs() > stopAt_ - settings_.stopLingerMs / 2)) {
-            hasLeft_ = true;
-            ownership_.leave([] {});
-        }
         if (bootMs() > stopAt_ && callers_.open() == 0) {
             loop_.stop();
         }
@@ -137,7 +135,6 @@
     JobCallerTask                   callers_;
     std::unique_ptr<Timer>          stopTimer_;
     TimeMs                          stopAt_ = 0;
-    bool                            hasLeft_ = false;
 };
 
 } // namespace
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -122,7 +122,8 @@
                   std::string member);
 
     auto start() -> void;
-    auto leave(std::function<void()> done) -> void; // Hands everything over.
+    auto beginLeave() -> void; // Nothing is renewed any more.
+    auto leave() -> void;      // After the pools were handed over.
     auto refreshOwners() -> void;                   // At most one reading at a time.
 
     auto ownership() const -> const Ownership & { return ownership_; }
@@ -130,6 +131,8 @@
     auto member() const -> const std::string & { return member_; }
     auto lastRenewedAt() const -> TimeMs { return lastRenewedAt_; }
 
+    // Called with what to do once the pools that were lost are handed over.
+    std::function<void(std::function<void()>)>  handOverLost;
     sigc::signal<void(const OwnershipChange &)> changed;
     sigc::signal<void(TimeMs)>                  renewed; // The end of the term.
 
@@ -174,7 +177,9 @@
     auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
     auto tick() -> void { run(); }
     auto direct(const PoolDirection &direction) -> void;
+    auto beginHandOver() -> void;
 
+    auto isHandedOver() const -> bool { return !scheduler_ || scheduler_->isHandedOver(); }
     auto isReady() const -> bool { return scheduler_ != nullptr; }
     auto isFenced() const -> bool { return isFenced_ || (scheduler_ && scheduler_->isFenced()); }
     auto scheduler() -> PoolScheduler * { return scheduler_.get(); }
@@ -202,6 +207,7 @@
     TimeMs                                 termUntil_ = 0;
     TimeMs                                 beganAt_ = 0;
     bool                                   isFenced_ = false;
+    bool                                   isLeaving_ = false;
     std::unique_ptr<PoolScheduler>         scheduler_; // Nothing until the journal was read.
     std::int64_t                           lastHandle_ = 0;
     std::map<std::int64_t, PoolAnswerSlot> callers_;
@@ -218,10 +224,15 @@
 
     auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
     auto pools() -> std::map<std::string, std::unique_ptr<PoolTask>> & { return pools_; }
-    auto isSettled() const -> bool;
+
+    // Hands over what isn't owned any more, or everything, and calls `done` when that is through, or
+    // after a while.
+    auto handOver(bool isAll, std::function<void()> done) -> void;
 
 private:
     auto refresh() -> void; // Makes and ends tasks for what is owned now.
+    auto isOwned(const std::string &name, const PoolTask &pool) const -> bool;
+    auto checkHandOver() -> void;
     auto tick() -> void;
 
     EventLoop                                       &loop_;
@@ -230,6 +241,9 @@
     DirectoryTask                                   &directory_;
     OwnershipTask                                   &ownership_;
     std::map<std::string, std::unique_ptr<PoolTask>> pools_;
+    std::set<std::string>                            leaving_; // Being handed over.
+    TimeMs                                           leavingUntil_ = 0;
+    std::function<void()>                            handedOver_;
     std::unique_ptr<Timer>                           timer_;
 };
 
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -72,21 +72,23 @@
     if (isNewGeneration) {
         refreshOwners();
         // Naming the new generation is what lets others take what it no longer lists.
-        loop_.post([this] { renew(); });
+        handOverLost([this] { renew(); });
         return;
     }
     loop_.post([this] { renew(); }, settings_.ownership.renewMs);
 }
 
-auto OwnershipTask::leave(std::function<void()> done) -> void
+auto OwnershipTask::beginLeave() -> void
 {
     isLeaving_ = true;
-    const auto change = ownership_.leave();
-    changed.emit(change);
-    group_.leave(member_, [this, done = std::move(done)](bool isDone) {
+}
+
+auto OwnershipTask::leave() -> void
+{
+    changed.emit(ownership_.leave());
+    group_.leave(member_, [this](bool isDone) {
         logEvent(LogLevel::Info, "ownership.left", {{"done", isDone}});
         refreshOwners();
-        done();
     });
 }
 
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr TimeMs kTakeoverRetryMs = 100;
+constexpr TimeMs kHandOverMs = 400; // A store that takes longer for a record is in trouble.
 
 auto toStatus(JobVerdict verdict) -> PoolStatus
 {
@@ -105,14 +106,15 @@
               {"took_ms", bootMs() - beganAt_}});
     scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
     scheduler_->setTerm(termUntil_);
-    scheduler_->restore(readMoment(), std::move(restored.jobs));
+    scheduler_->restore(readMoment(), std::move(restored.jobs),
+                        findHandOver(identity_.pool, records));
     run();
 }
 
 auto PoolTask::setTerm(TimeMs untilMs) -> void
 {
     termUntil_ = untilMs;
-    if (scheduler_) {
+    if (scheduler_ && !isLeaving_) {
         scheduler_->setTerm(untilMs);
     }
 }
@@ -125,6 +127,15 @@
     }
 }
 
+auto PoolTask::beginHandOver() -> void
+{
+    isLeaving_ = true;
+    if (scheduler_) {
+        scheduler_->beginHandOver(readMoment());
+        run();
+    }
+}
+
 auto PoolTask::onViewChanged() -> void
 {
     if (scheduler_) {
@@ -135,7 +146,7 @@
 
 auto PoolTask::handle(const PoolCall &call, PoolAnswerSlot slot) -> void
 {
-    if (!scheduler_ || isFenced()) {
+    if (!scheduler_ || isFenced() || isLeaving_) {
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool is being taken over", 0});
         return;
     }
@@ -267,6 +278,7 @@
         }
     });
     ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
+    ownership.handOverLost = [this](std::function<void()> done) { handOver(false, std::move(done)); };
     ownership.renewed.connect([this](TimeMs termUntil) {
         for (auto &[name, pool] : pools_) {
             pool->setTerm(termUntil);
@@ -274,31 +286,65 @@
     });
 }
 
-auto PoolsTask::refresh() -> void
+auto PoolsTask::isOwned(const std::string &name, const PoolTask &pool) const -> bool
 {
-    const auto &ownership = ownership_.ownership();
-    for (auto item = pools_.begin(); item != pools_.end();) {
-        const auto partition = partitionOf(item->first, settings_.ownership.partitions);
-        const auto token = ownership.tokens().find(partition);
-        if (token == ownership.tokens().end()
-            || token->second != item->second->identity().token) {
-            logEvent(LogLevel::Info, "pool.released",
-                     {{"pool", item->first}, {"token", item->second->identity().token}});
-            item = pools_.erase(item);
-        } else {
-            ++item;
+    const auto &tokens = ownership_.ownership().tokens();
+    const auto  token = tokens.find(partitionOf(name, settings_.ownership.partitions));
+    return token != tokens.end() && token->second == pool.identity().token;
+}
+
+auto PoolsTask::handOver(bool isAll, std::function<void()> done) -> void
+{
+    leavingUntil_ = bootMs() + kHandOverMs;
+    handedOver_ = std::move(done);
+    for (auto &[name, pool] : pools_) {
+        if (isAll || !isOwned(name, *pool)) {
+            leaving_.insert(name);
+            pool->beginHandOver();
         }
     }
+    checkHandOver();
+}
+
+auto PoolsTask::checkHandOver() -> void
+{
+    if (!handedOver_) {
+        return;
+    }
+    const auto isThrough = std::ranges::all_of(leaving_, [&](const auto &name) {
+        const auto found = pools_.find(name);
+        return found == pools_.end() || found->second->isHandedOver();
+    });
+    if (!isThrough && bootMs() < leavingUntil_) {
+        return;
+    }
+    for (const auto &name : leaving_) {
+        logEvent(LogLevel::Info, "pool.released", {{"pool", name}, {"in_time", isThrough}});
+        pools_.erase(name);
+    }
+    leaving_.clear();
+    const auto done = std::exchange(handedOver_, nullptr);
+    refresh();
+    done();
+}
+
+auto PoolsTask::refresh() -> void
+{
+    std::erase_if(pools_, [&](const auto &item) {
+        return !isOwned(item.first, *item.second) && !leaving_.contains(item.first)
+            && item.second->isFenced();
+    });
     if (!directory_.hasWorkers()) {
         return;
     }
     for (const auto &pool : directory_.view().catalog.activePools()) {
-        const auto partition = partitionOf(pool, settings_.ownership.partitions);
-        const auto token = ownership.tokens().find(partition);
-        if (token != ownership.tokens().end() && !pools_.contains(pool)) {
+        const auto &tokens = ownership_.ownership().tokens();
+        const auto  partition = partitionOf(pool, settings_.ownership.partitions);
+        const auto  token = tokens.find(partition);
+        if (token != tokens.end() && !pools_.contains(pool)) {
             auto task = std::make_unique<PoolTask>(loop_, services_, settings_, directory_.view(),
                                                    PoolIdentity{pool, token->second}, partition);
-            task->setTerm(ownership.termUntil());
+            task->setTerm(ownership_.ownership().termUntil());
             pools_[pool] = std::move(task);
         }
     }
@@ -306,6 +352,7 @@
 
 auto PoolsTask::tick() -> void
 {
+    checkHandOver();
     for (auto &[name, pool] : pools_) {
         pool->tick();
     }
@@ -321,11 +368,4 @@
     found->second->handle(call, std::move(slot));
 }
 
-auto PoolsTask::isSettled() const -> bool
-{
-    return std::ranges::all_of(pools_, [](const auto &item) {
-        return !item.second->isReady() || item.second->scheduler()->isSettled();
-    });
-}
-
 } // namespace peridotwalk
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -15,7 +15,7 @@
 // Puts everything that changed since the last append into the next one.
 auto PoolScheduler::State::flush(Moment now) -> void
 {
-    if (isFenced_) {
+    if (isFenced_ || handOver_ == HandOverStage::Done) {
         return;
     }
     if (batch_) {
@@ -25,10 +25,12 @@
         }
         return;
     }
-    if (changed_.empty() && submitted_.empty() && effects_.empty()) {
+    const auto isDropDue = note_.has_value() && !isNoteDropped_;
+    const auto isHandOverDue = handOver_ == HandOverStage::Due;
+    if (changed_.empty() && submitted_.empty() && effects_.empty() && !isDropDue && !isHandOverDue) {
         return;
     }
-    if (now.steadyMs - flushedAt_ < settings_.flushGapMs) {
+    if (now.steadyMs - flushedAt_ < settings_.flushGapMs && !isHandOverDue) {
         return;
     }
     flushedAt_ = now.steadyMs;
@@ -42,6 +44,12 @@
         batch.records.push_back(encodeProgress(jobs_.at(id).job));
         batch.states[id] = jobs_.at(id).job.state;
     }
+    if (isHandOverDue) {
+        handOver_ = HandOverStage::Writing;
+        batch.records.push_back(encodeHandOver(identity_.pool, makeHandOver(now)));
+    } else if (isDropDue) {
+        batch.records.push_back(dropHandOver(identity_.pool));
+    }
     submitted_.clear();
     changed_.clear();
     batch.effects = std::exchange(effects_, {});
@@ -71,6 +79,10 @@
         return;
     }
     auto batch = *std::exchange(batch_, std::nullopt);
+    isNoteDropped_ = true; // By the first batch of all.
+    if (handOver_ == HandOverStage::Writing) {
+        handOver_ = HandOverStage::Done;
+    }
     for (const auto &[id, state] : batch.states) {
         auto &entry = jobs_.at(id);
         entry.isRecorded = true;
@@ -92,6 +104,18 @@
     needsSchedule_ = true;
 }
 
+// A worker that answers us may run on until its lease is over; a silent one's lease stands still.
+auto PoolScheduler::State::makeHandOver(Moment now) const -> HandOver
+{
+    auto note = HandOver{};
+    for (const auto &[id, worker] : workers_) {
+        if (!worker.runs.empty()) {
+            note.lapsesIn[id] = std::max<TimeMs>(0, lapsedBy(worker) - now.steadyMs);
+        }
+    }
+    return note;
+}
+
 auto PoolScheduler::State::isStalled(Moment now) const -> bool
 {
     return batch_ && now.steadyMs - batch_->startedAt > settings_.journalStallMs;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -32,11 +32,19 @@
 
 PoolScheduler::~PoolScheduler() = default;
 
-auto PoolScheduler::restore(Moment now, JobTable jobs) -> void
+auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<HandOver> note) -> void
 {
+    state_->note_ = std::move(note);
     state_->restore(now, std::move(jobs));
 }
 
+auto PoolScheduler::beginHandOver(Moment now) -> void
+{
+    state_->termUntil_ = 0;
+    state_->handOver_ = HandOverStage::Due;
+    state_->flush(now);
+}
+
 auto PoolScheduler::setTerm(TimeMs untilMs) -> void
 {
     state_->termUntil_ = untilMs;
@@ -83,6 +91,10 @@
     if (state_->isFenced_) {
         return;
     }
+    if (state_->handOver_ != HandOverStage::None) {
+        state_->flush(now);
+        return;
+    }
     for (auto &[id, worker] : state_->workers_) {
         state_->tickWorker(now, worker);
     }
@@ -148,10 +160,9 @@
     return runs;
 }
 
-auto PoolScheduler::isSettled() const -> bool
+auto PoolScheduler::isHandedOver() const -> bool
 {
-    return !state_->batch_ && state_->changed_.empty() && state_->submitted_.empty()
-        && state_->effects_.empty();
+    return state_->isFenced_ || state_->handOver_ == HandOverStage::Done;
 }
 
 } // namespace peridotwalk
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -135,7 +135,8 @@
     auto operator=(const PoolScheduler &) -> PoolScheduler & = delete;
 
     // Commands.
-    auto restore(Moment now, JobTable jobs) -> void;
+    auto restore(Moment now, JobTable jobs, std::optional<HandOver> note = std::nullopt) -> void;
+    auto beginHandOver(Moment now) -> void; // Decides nothing more; the journal gets a last record.
     auto setTerm(TimeMs untilMs) -> void; // Nothing starts after that, on the steady clock.
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
@@ -156,7 +157,7 @@
     auto report() const -> PoolReport;                            // To the coordinator.
     auto countJobs() const -> std::size_t;
     auto countRuns() const -> std::size_t;
-    auto isSettled() const -> bool; // No append is under way or due.
+    auto isHandedOver() const -> bool; // The last record is in the journal.
 
 private:
     class State;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -88,6 +88,8 @@
 };
 using Effect = std::variant<AnswerEffect, StartEffect, AckEffect>;
 
+enum class HandOverStage { None, Due, Writing, Done };
+
 struct Batch {
     std::vector<KeyedRecord>        records;
     std::map<std::string, JobState> states; // Of jobs in the batch.
@@ -127,6 +129,7 @@
     auto flush(Moment now) -> void;
     auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
     auto isStalled(Moment now) const -> bool;
+    auto makeHandOver(Moment now) const -> HandOver;
 
     // Jobs (jobs.cpp)
     auto restore(Moment now, JobTable jobs) -> void;
@@ -205,6 +208,9 @@
     std::vector<Effect>                          effects_;
     std::optional<Batch>                         batch_; // Under way.
     std::int64_t                                 sequence_ = 0;
+    std::optional<HandOver>                      note_; // Of the former owner.
+    bool                                         isNoteDropped_ = false;
+    HandOverStage                                handOver_ = HandOverStage::None;
     TimeMs                                       flushedAt_ = 0;
     std::vector<PoolAction>                      actions_;
 };
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -85,6 +85,9 @@
     const auto lease =
         static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError) + kClockSlackMs;
     if (!worker.isAsked || worker.clockAt == 0) {
+        if (note_ && note_->lapsesIn.contains(worker.peer.id)) {
+            return ownedSince_ + note_->lapsesIn.at(worker.peer.id);
+        }
         // The former owner may have extended leases until its own limit; but no owner extends those
         // of a worker whose entry it has seen go.
         const auto byOwner = ownedSince_ + settings_.caretakerMs + lease;
@@ -312,7 +315,8 @@
         });
         hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
     }
-    if (worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
+    const auto mayExtend = !note_ || isNoteDropped_;
+    if (mayExtend && worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
         && now.steadyMs < termUntil_ + settings_.caretakerMs) {
         hold.order.leaseUntilMs = extendLease(now, worker);
     }
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -88,10 +88,20 @@
     }
     owner_ = std::make_unique<PoolScheduler>(PoolIdentity{"pool", epoch_}, settings_, view_);
     owner_->setTerm(now_.steadyMs + kTermMs);
-    owner_->restore(now_, std::move(restored.jobs));
+    owner_->restore(now_, std::move(restored.jobs), findHandOver("pool", records));
     handles_.clear();
 }
 
+auto PoolWorld::handOver() -> void
+{
+    owner_->beginHandOver(now_);
+    drain();
+    for (auto round = 0; round < 100 && !owner_->isHandedOver(); ++round) {
+        step();
+    }
+    takeOver();
+}
+
 auto PoolWorld::changeView(const std::function<void(FleetView &)> &change) -> void
 {
     change(view_);
@@ -182,7 +192,9 @@
         action();
         drain();
     }
-    owner_->setTerm(now_.steadyMs + kTermMs);
+    if (!owner_->isHandedOver()) {
+        owner_->setTerm(now_.steadyMs + kTermMs);
+    }
     owner_->tick(now_);
     drain();
 }
@@ -338,6 +350,9 @@
             sequence_ = action.sequence;
             for (const auto &record : action.records) {
                 journal_[record.key] = record.value;
+                if (record.value.empty()) {
+                    journal_.erase(record.key);
+                }
             }
         }
         const auto isLost = chance(faults_.lostAppends);
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -50,6 +50,7 @@
     auto cancel(const std::string &id) -> void;
     auto crash(const std::string &worker) -> void; // Its entry goes 4.5 s later; it doesn't come back.
     auto takeOver() -> void;                        // A new owner, from the journal alone.
+    auto handOver() -> void; // The owner gives the pool up as planned, and a new one follows.
     auto run(TimeMs ms) -> void;
     auto direct(const PoolDirection &direction) -> void;
     auto setStoreDown(bool isDown) -> void { isStoreDown_ = isDown; }
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -149,6 +149,25 @@
     expectKept(world);
 }
 
+// Planned hand-overs pass on what is known of silent workers, also through nodes that have just started.
+Test(pool, planned_hand_overs_in_a_row_dont_push_a_lapse_ahead)
+{
+    auto world = PoolWorld(1, {}, 3);
+    world.submit(makeJob("a", {lasting(6)}));
+    world.run(1'000);
+    world.crash("w0");
+    for (auto owner = 0; owner < 4; ++owner) {
+        world.run(1'500);
+        world.changeView([&](FleetView &view) { view.since = world.now().steadyMs; });
+        world.handOver();
+    }
+    world.run(1'500); // 7.5 s after the crash: 6.5 s of lease, and a second to start.
+    for (std::int64_t index = 0; index < 6; ++index) {
+        cr_assert(world.isRunning({"a", 0, 0, index}));
+    }
+    expectKept(world);
+}
+
 Test(pool, draining_and_evacuated_workers_get_no_new_runs)
 {
     auto world = PoolWorld(1, {}, 2);
