--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -132,11 +132,13 @@
     TimeMs       callRetryMs = 500;    // After a call without an answer, or a refusal.
     TimeMs       settleMs = 6'000;     // A machine that was called counts as away until listed again.
     TimeMs       calledMs = 12'000;    // The worker of a machine that was called gets no new runs.
-    TimeMs       surplusMs = 1'500;    // A pool's machine is idle that long before it moves away.
+    TimeMs       lendMs = 300;         // A machine is idle that long before another pool gets it,
+    TimeMs       surplusMs = 2'000;    // and that long before it is set aside.
     TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15;   // Room kept over what a pool asks for.
     std::int64_t minMachines = 3;      // Of each pool.
-    double       floorPart = 0.6;      // Of an even split of all machines, that each pool keeps.
+    double       floorPart = 0.6;      // Of an even split of all machines: none is set aside below.
+    double       lendFloorPart = 0.3;  // The same: none is lent to another pool below.
     double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
     bool         isMoving = true;      // Moves machines between pools.
 };
@@ -219,8 +221,19 @@
     auto isEmptied(TimeMs now, const Machine &machine) const -> bool;
     auto isAway(TimeMs now, const Machine &machine) const -> bool;
     auto isStandby(std::string_view pool) const -> bool;
+    // How many machines a pool has, wants, and gives away.
+    struct Balance {
+        std::int64_t missing = 0;
+        std::int64_t lendable = 0; // To a pool that misses some.
+        std::int64_t surplus = 0;  // Better set aside.
+    };
+
+    auto balanceOf(TimeMs now, const std::string &name, const Pool &pool,
+                   std::optional<TimeMs> period) const -> Balance;
     auto desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
                          std::optional<TimeMs> period) const -> std::int64_t;
+    auto chooseNeedy(const std::map<std::string, Balance> &balances, const Machine &machine) const
+        -> std::string;
     auto sharedPeriod() const -> std::optional<TimeMs>;
     auto findIdle(TimeMs now) -> std::vector<Machine *>;
     auto countCordoned(std::string_view pool) const -> std::int64_t;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -296,21 +296,48 @@
                                                    * settings_.spareFactor
                                                    / static_cast<double>(of)));
     };
-    // A pool keeps enough to go on by itself while there is no coordinator.
-    const auto even = static_cast<double>(machines_.size())
-        / static_cast<double>(std::max<std::size_t>(1, active_.size()));
-    const auto floor = static_cast<std::int64_t>(settings_.floorPart * even);
-    auto       desired = std::max({settings_.minMachines, floor, lastingWorkers,
-                                   toMachines(timed + lasting, unit.cpu)});
-    if (pool.forecast.isLearning(now)) {
-        desired = std::max(desired, have);
-    }
+    auto desired = std::max({settings_.minMachines, lastingWorkers,
+                             toMachines(timed + lasting, unit.cpu)});
     if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedMs) {
         desired = std::max(desired, have + 1);
     }
     return desired;
 }
 
+// A pool keeps enough to go on by itself while there is no coordinator, and all it has before its first
+// burst was seen, unless another pool has work waiting.
+auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool,
+                               std::optional<TimeMs> period) const -> Balance
+{
+    const auto even = static_cast<double>(machines_.size())
+        / static_cast<double>(std::max<std::size_t>(1, active_.size()));
+    const auto part = [&](double of) { return static_cast<std::int64_t>(of * even); };
+    const auto have = countUsable(now, name);
+    const auto desired = desiredMachines(now, pool, have, period);
+    const auto kept = pool.forecast.isLearning(now) ? have : part(settings_.floorPart);
+    auto       balance = Balance{};
+    balance.missing = std::max<std::int64_t>(0, desired - have);
+    balance.lendable =
+        std::max<std::int64_t>(0, have - std::max(desired, part(settings_.lendFloorPart)));
+    balance.surplus = std::max<std::int64_t>(0, have - std::max(desired, kept));
+    return balance;
+}
+
+// Returns the pool that misses most, or nothing.
+auto MachinePlanner::chooseNeedy(const std::map<std::string, Balance> &balances,
+                                 const Machine &machine) const -> std::string
+{
+    auto         needy = std::string();
+    std::int64_t most = 0;
+    for (const auto &[name, balance] : balances) {
+        if (balance.missing > most && !machine.refusedPools.contains(name)) {
+            most = balance.missing;
+            needy = name;
+        }
+    }
+    return needy;
+}
+
 // Returns machines that can go elsewhere, those that stand by first.
 auto MachinePlanner::findIdle(TimeMs now) -> std::vector<Machine *>
 {
@@ -328,7 +355,7 @@
         if (machine.idleSince < 0) {
             machine.idleSince = now;
         }
-        const auto isRested = now - machine.idleSince >= settings_.surplusMs;
+        const auto isRested = now - machine.idleSince >= settings_.lendMs;
         if ((isStandingBy && !isOut) || (!isStandingBy && isRested)) {
             idle.push_back(&machine);
         }
@@ -342,42 +369,31 @@
 // Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
 auto MachinePlanner::planMoves(TimeMs now) -> void
 {
-    auto       surplus = std::map<std::string, std::int64_t>();
-    auto       missing = std::map<std::string, std::int64_t>();
+    auto       balances = std::map<std::string, Balance>();
     const auto period = sharedPeriod();
     for (const auto &[name, pool] : pools_) {
-        if (!active_.contains(name) || now - pool.reportedAt > settings_.reportFreshMs) {
-            continue;
-        }
-        const auto have = countUsable(now, name);
-        const auto desired = desiredMachines(now, pool, have, period);
-        if (have < desired) {
-            missing[name] = desired - have;
-        } else {
-            surplus[name] = have - desired;
+        if (active_.contains(name) && now - pool.reportedAt <= settings_.reportFreshMs) {
+            balances[name] = balanceOf(now, name, pool, period);
         }
     }
     for (auto *machine : findIdle(now)) {
-        const auto from = machine->entry.pool;
-        const auto isStandingBy = isStandby(from);
-        const auto isOut = evacuated_.contains(machine->entry.zone);
-        if (!isStandingBy && !isOut && surplus[from] <= 0) {
-            continue;
-        }
-        const auto needy = std::ranges::max_element(
-            missing, {}, [](const auto &item) { return item.second; });
-        if (!isOut && needy != missing.end() && needy->second > 0
-            && !machine->refusedPools.contains(needy->first)) {
-            machine->wantedPool = needy->first;
-            --needy->second;
-        } else if (!isStandingBy && !standby_.empty()
+        auto       &from = balances[machine->entry.pool];
+        const auto  isStandingBy = isStandby(machine->entry.pool);
+        const auto  isOut = evacuated_.contains(machine->entry.zone);
+        const auto  needy = isOut ? std::string() : chooseNeedy(balances, *machine);
+        const auto  isRested = now - machine->idleSince >= settings_.surplusMs;
+        if (!needy.empty() && (isStandingBy || from.lendable > 0)) {
+            machine->wantedPool = needy;
+            --balances[needy].missing;
+        } else if (!isStandingBy && isRested && (isOut || from.surplus > 0) && !standby_.empty()
                    && !machine->refusedPools.contains(*standby_.begin())) {
             machine->wantedPool = *standby_.begin();
         } else {
             continue;
         }
         if (!isStandingBy && !isOut) {
-            --surplus[from];
+            --from.lendable;
+            --from.surplus;
         }
     }
 }
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -6,6 +6,7 @@
 
 constexpr TimeMs kTickMs = 100;
 constexpr int    kHttpOk = 200;
+constexpr TimeMs kStatusGapMs = 1'000;  // Between two status lines of a pool.
 constexpr TimeMs kHolderMarginMs = 800; // Of a term, for calls on their way to machines.
 
 } // namespace
@@ -161,6 +162,10 @@
 auto ReporterTask::reportPool(const std::string &name, PoolTask &pool) -> void
 {
     const auto report = pool.scheduler()->report();
+    if (bootMs() >= statusAt_[name]) {
+        statusAt_[name] = bootMs() + kStatusGapMs;
+        logStatus(report, pool);
+    }
     const auto member = ownership_.memberOf(kCoordinatorName);
     if (member == ownership_.member()) {
         const auto direction = coordinator_.handle(report);
@@ -195,6 +200,28 @@
                    });
 }
 
+auto ReporterTask::logStatus(const PoolReport &report, PoolTask &pool) -> void
+{
+    std::int64_t usable = 0;
+    std::int64_t cordoned = 0;
+    std::int64_t cpu = 0;
+    for (const auto &worker : report.workers) {
+        usable += worker.isUsable ? 1 : 0;
+        cordoned += worker.isCordoned ? 1 : 0;
+        cpu += worker.cpu + worker.lastingCpu;
+    }
+    logEvent(LogLevel::Info, "pool.status",
+             {{"pool", report.pool},
+              {"token", report.token},
+              {"jobs", pool.scheduler()->countJobs()},
+              {"runs", pool.scheduler()->countRuns()},
+              {"workers", report.workers.size()},
+              {"usable", usable},
+              {"cordoned", cordoned},
+              {"cpu", cpu},
+              {"wanted_cpu", report.wanted.cpu}});
+}
+
 auto ReporterTask::onDirection(const std::string &name, std::int64_t token,
                                const PoolDirection &direction) -> void
 {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -331,6 +331,7 @@
 private:
     auto report() -> void;
     auto reportPool(const std::string &name, PoolTask &pool) -> void;
+    auto logStatus(const PoolReport &report, PoolTask &pool) -> void;
     auto onDirection(const std::string &name, std::int64_t token, const PoolDirection &direction)
         -> void;
 
@@ -342,6 +343,7 @@
     OwnershipTask         &ownership_;
     std::set<std::string>  reporting_; // Pools whose report waits for its answer.
     std::int64_t           newestToken_ = 0;
+    std::map<std::string, TimeMs> statusAt_; // The next status line, by pool.
     std::unique_ptr<Timer> timer_;
 };
 
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -12,6 +12,7 @@
 
 constexpr double kHopelessPart = 0.6;   // Of the work left by its estimate.
 constexpr int    kLateObjectives = 3;   // Work counts as late up to that many objectives.
+constexpr double kLastingMemoryLeft = 0.4; // Of a worker, for timed work beside lasting work.
 constexpr double kPackWeight = 0.3;     // Of packing, against balance between cpu and memory.
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
@@ -50,9 +51,10 @@
 }
 
 // Returns how much better `worker` is than others for a task; higher wins. Timed work is packed, so
-// that large tasks find room, and lasting work is spread, as it takes memory for long. Serving and
-// filling tasks are kept apart, as they slow each other down.
-auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks) -> double
+// that large tasks find room. Lasting work shares few workers, so that the others can be lent, but
+// leaves memory on each. Serving and filling tasks are kept apart, as they slow each other down.
+auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks,
+             std::int64_t lastingTasks) -> double
 {
     const auto part = [](std::int64_t amount, std::int64_t of) {
         return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(1, of));
@@ -65,7 +67,8 @@
         return cpu - static_cast<double>(servingTasks);
     }
     if (step.isLongRunning) {
-        return std::min(cpu, memory);
+        const auto joins = lastingTasks > 0 && memory >= kLastingMemoryLeft;
+        return std::min(cpu, memory) + (joins ? 1.0 : 0.0);
     }
     // What is left should be of use: both kinds of room, and in few large pieces.
     return -std::abs(cpu - memory) - kPackWeight * (cpu + memory);
@@ -287,11 +290,13 @@
             continue;
         }
         std::int64_t serving = 0;
+        std::int64_t lasting = 0;
         for (const auto &[other, run] : worker.runs) {
             const auto &otherStep = stepOf(jobs_.at(other.job), other);
+            lasting += otherStep.isLongRunning ? 1 : 0;
             serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
         }
-        auto score = fitness(worker, step, serving);
+        auto score = fitness(worker, step, serving, lasting);
         if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
             score += kNearDataFitness;
         }
