Reset connections of calls that timed out

Closing sends what is queued; only a reset drops it. Test: http/a_call_that_timed_out_resets_its_connection, which failed before.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace peridotwalk {
 
@@ -101,6 +102,23 @@
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
     }
 
+    // Resets the connection and drops what the kernel hasn't sent yet. A plain close would leave it to
+    // be delivered after a cut has healed, long after the caller has counted the call as over. evhttp
+    // shuts a connection down before it closes it, so the socket is replaced under it by a fresh one.
+    auto resetNow() -> void
+    {
+        const auto bound = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_));
+        const auto discard = linger{1, 0};
+        setsockopt(bound, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+        const auto fresh = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (bound >= 0 && fresh >= 0) {
+            dup2(fresh, bound);
+        }
+        if (fresh >= 0) {
+            close(fresh);
+        }
+    }
+
     auto address() const -> const std::string & { return address_; }
     auto isUsable() const -> bool { return !isClosed_; }
     auto isBusy() const -> bool { return isBusy_; }
@@ -144,6 +162,7 @@
     {
         auto &connection = *static_cast<PooledConnection *>(self);
         connection.isClosed_ = true;
+        connection.resetNow();
         if (connection.request_ != nullptr) {
             evhttp_cancel_request(std::exchange(connection.request_, nullptr));
         }
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -180,3 +181,40 @@
     cr_assert_not(result->isWhole);
     cr_assert_not(result->isWritten);
 }
+
+// A plain close would let bytes that are still queued be delivered after a cut, as a call that its sender
+// has long counted as over.
+Test(http, a_call_that_timed_out_resets_its_connection)
+{
+    auto       loop = EventLoop();
+    const auto listener = socket(AF_INET, SOCK_STREAM, 0);
+    auto       address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    cr_assert_eq(bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
+    cr_assert_eq(listen(listener, 4), 0);
+    auto size = socklen_t{sizeof(address)};
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+    auto limits = PoolLimits{};
+    limits.isProbed = false;
+    auto pool = ConnectionPool(loop, limits);
+    auto result = std::optional<HttpResult>();
+    pool.request(fmt::format("127.0.0.1:{}", ntohs(address.sin_port)), {"POST", "/", {}, "x", 100},
+                 [&](HttpResult got) {
+                     result = std::move(got);
+                     loop.post([&] { loop.stop(); }, 50);
+                 });
+    loop.run();
+    cr_assert(result.has_value());
+    cr_assert_not(result->isWhole);
+    const auto peer = accept(listener, nullptr, nullptr);
+    auto       buffer = std::array<char, 4'096>{};
+    auto       count = ssize_t{1};
+    while (count > 0) {
+        count = recv(peer, buffer.data(), buffer.size(), 0);
+    }
+    cr_assert_eq(count, -1);
+    cr_assert_eq(errno, ECONNRESET);
+    close(peer);
+    close(listener);
+}
