A scheduler never comes back under a token that was used before

Their appends began again at number 1, which the store takes for repeats and doesn't write, so jobs were accepted that the next owner never saw, and it stopped their runs. Test: node/a_planned_stop_ends_ownership_for_good, which failed before.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -242,6 +242,9 @@
     OwnershipTask                                   &ownership_;
     std::map<std::string, std::unique_ptr<PoolTask>> pools_;
     std::set<std::string>                            leaving_; // Being handed over.
+    // By pool. A token stands for one life of a scheduler: with the numbers of its appends begun anew,
+    // the store would take them for repeats.
+    std::map<std::string, std::int64_t>              usedTokens_;
     TimeMs                                           leavingUntil_ = 0;
     std::function<void()>                            handedOver_;
     std::unique_ptr<Timer>                           timer_;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -324,8 +324,8 @@
     }
     leaving_.clear();
     const auto done = std::exchange(handedOver_, nullptr);
-    refresh();
     done();
+    refresh();
 }
 
 auto PoolsTask::refresh() -> void
@@ -341,7 +341,8 @@
         const auto &tokens = ownership_.ownership().tokens();
         const auto  partition = partitionOf(pool, settings_.ownership.partitions);
         const auto  token = tokens.find(partition);
-        if (token != tokens.end() && !pools_.contains(pool)) {
+        if (token != tokens.end() && !pools_.contains(pool) && usedTokens_[pool] != token->second) {
+            usedTokens_[pool] = token->second;
             auto task = std::make_unique<PoolTask>(loop_, services_, settings_, directory_.view(),
                                                    PoolIdentity{pool, token->second}, partition);
             task->setTerm(ownership_.ownership().termUntil());
