--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -90,7 +90,7 @@
     TimeMs minPeriodMs = 6'000; // Shorter distances between bursts aren't a period.
     TimeMs leadMs = 2'300;      // Room is asked for that long ahead. A move takes 1.5 s.
     TimeMs overdueMs = 1'500;   // An expected burst that hasn't come by then isn't waited for.
-    TimeMs learningMs = 20'000; // Without a burst in that time, none is expected.
+    TimeMs risingMs = 2'500;    // So long a burst is expected to grow.
 };
 
 // Learns when the bursts of one pool's demand come, and how high they are.
@@ -100,11 +100,12 @@
     explicit DemandForecast(const ForecastSettings &settings = {}) : settings_(settings) { }
 
     // Commands.
-    auto add(TimeMs now, std::int64_t demandCpu) -> void;
+    auto add(TimeMs now, std::int64_t demandCpu, std::int64_t leastCpu) -> void; // Of a burst.
 
     // Queries.
     auto period() const -> std::optional<TimeMs>;   // Between the last two bursts.
-    auto isLearning(TimeMs now) const -> bool;      // No burst was seen whole yet.
+    auto isRising(TimeMs now) const -> bool;        // A burst has just begun.
+    auto peak() const -> std::int64_t;              // Highest demand of the last bursts.
     // Returns the demand to make room for now, with the period of this or another pool.
     auto expected(TimeMs now, std::optional<TimeMs> period) const -> std::int64_t;
 
@@ -136,8 +137,10 @@
     TimeMs       surplusMs = 2'000;    // and that long before it is set aside.
     TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15;   // Room kept over what a pool asks for.
+    double       risingFactor = 2.0;   // A burst that begins is taken to grow so much at least.
+    double       burstMachines = 2.0;  // Less demand than of that many machines is no burst.
     std::int64_t minMachines = 3;      // Of each pool.
-    double       floorPart = 0.6;      // Of an even split of all machines: none is set aside below.
+    double       floorPart = 0.5;      // Of an even split of all machines: none is set aside below.
     double       lendFloorPart = 0.3;  // The same: none is lent to another pool below.
     double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
     bool         isMoving = true;      // Moves machines between pools.
@@ -235,6 +238,7 @@
     auto chooseNeedy(const std::map<std::string, Balance> &balances, const Machine &machine) const
         -> std::string;
     auto sharedPeriod() const -> std::optional<TimeMs>;
+    auto sharedPeak() const -> std::int64_t;
     auto findIdle(TimeMs now) -> std::vector<Machine *>;
     auto countCordoned(std::string_view pool) const -> std::int64_t;
     auto countMachines(std::string_view pool) const -> std::int64_t;
--- a/src/coordinator/forecast.cpp
+++ b/src/coordinator/forecast.cpp
@@ -8,7 +8,7 @@
 // [SECTION] Demand forecast
 //-----------------------------------------------------------------------------
 
-auto DemandForecast::add(TimeMs now, std::int64_t demandCpu) -> void
+auto DemandForecast::add(TimeMs now, std::int64_t demandCpu, std::int64_t leastCpu) -> void
 {
     if (firstAt_ < 0) {
         firstAt_ = now;
@@ -20,7 +20,8 @@
     const auto step = static_cast<double>(now - lastAt_);
     mean_ += (static_cast<double>(demandCpu) - mean_) * std::min(1.0, step / total);
     lastAt_ = now;
-    const auto isHigh = static_cast<double>(demandCpu) > settings_.riseFactor * mean_ && mean_ > 0;
+    const auto isHigh = demandCpu >= leastCpu
+        && static_cast<double>(demandCpu) > settings_.riseFactor * mean_;
     if (isHigh && !isHigh_ && lowSince_ >= 0 && now - lowSince_ >= settings_.quietMs) {
         burstBefore_ = burstAt_;
         burstAt_ = now;
@@ -44,10 +45,14 @@
     return burstAt_ - burstBefore_;
 }
 
-auto DemandForecast::isLearning(TimeMs now) const -> bool
+auto DemandForecast::isRising(TimeMs now) const -> bool
 {
-    const auto wasSeenWhole = burstAt_ >= 0 && !isHigh_;
-    return firstAt_ < 0 || (!wasSeenWhole && now - firstAt_ < settings_.learningMs);
+    return isHigh_ && burstAt_ >= 0 && now - burstAt_ <= settings_.risingMs;
+}
+
+auto DemandForecast::peak() const -> std::int64_t
+{
+    return std::max(peak_, peakBefore_);
 }
 
 auto DemandForecast::expected(TimeMs now, std::optional<TimeMs> period) const -> std::int64_t
@@ -57,7 +62,7 @@
     }
     const auto next = burstAt_ + *period;
     const auto isNear = now >= next - settings_.leadMs && now <= next + settings_.overdueMs;
-    return isNear ? std::max(peak_, peakBefore_) : 0;
+    return isNear ? peak() : 0;
 }
 
 } // namespace peridotwalk
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -64,7 +64,9 @@
         pool.workers[worker.id] = worker;
         demand += worker.cpu;
     }
-    pool.forecast.add(now, demand);
+    pool.forecast.add(now, demand,
+                      static_cast<std::int64_t>(settings_.burstMachines
+                                                * static_cast<double>(report.perWorker.cpu)));
     if (report.wanted == ResourceSet{}) {
         pool.blockedSince = -1;
     } else if (pool.blockedSince < 0) {
@@ -275,6 +277,16 @@
     return std::nullopt;
 }
 
+// Bursts of pools that take turns are alike.
+auto MachinePlanner::sharedPeak() const -> std::int64_t
+{
+    std::int64_t peak = 0;
+    for (const auto &[name, pool] : pools_) {
+        peak = std::max(peak, pool.forecast.peak());
+    }
+    return peak;
+}
+
 auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
                                      std::optional<TimeMs> period) const -> std::int64_t
 {
@@ -290,6 +302,10 @@
         lasting += worker.lastingCpu;
         lastingWorkers += worker.lastingRuns > 0 ? 1 : 0;
     }
+    if (pool.forecast.isRising(now)) {
+        const auto grown = static_cast<std::int64_t>(settings_.risingFactor * static_cast<double>(timed));
+        timed = std::max(grown, sharedPeak());
+    }
     timed = std::max(timed, pool.forecast.expected(now, period));
     const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
         return static_cast<std::int64_t>(std::ceil(static_cast<double>(amount)
@@ -304,8 +320,7 @@
     return desired;
 }
 
-// A pool keeps enough to go on by itself while there is no coordinator, and all it has before its first
-// burst was seen, unless another pool has work waiting.
+// A pool keeps enough to go on by itself while there is no coordinator.
 auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool,
                                std::optional<TimeMs> period) const -> Balance
 {
@@ -314,12 +329,11 @@
     const auto part = [&](double of) { return static_cast<std::int64_t>(of * even); };
     const auto have = countUsable(now, name);
     const auto desired = desiredMachines(now, pool, have, period);
-    const auto kept = pool.forecast.isLearning(now) ? have : part(settings_.floorPart);
     auto       balance = Balance{};
     balance.missing = std::max<std::int64_t>(0, desired - have);
     balance.lendable =
         std::max<std::int64_t>(0, have - std::max(desired, part(settings_.lendFloorPart)));
-    balance.surplus = std::max<std::int64_t>(0, have - std::max(desired, kept));
+    balance.surplus = std::max<std::int64_t>(0, have - std::max(desired, part(settings_.floorPart)));
     return balance;
 }
 
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -67,7 +67,8 @@
                             hasWorkers_ = true;
                             apply(DirectorySource::Workers, *page);
                         }
-                        loop_.post([this] { readWorkers(); }, settings_.workersPollMs);
+                        loop_.post([this] { readWorkers(); }, isOwner_ ? settings_.workersPollMs
+                                                                       : settings_.idlePollMs);
                     });
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -88,6 +88,7 @@
     DirectoryTask(EventLoop &loop, Directory &directory, const NodeSettings &settings);
 
     auto start() -> void;
+    auto setOwner(bool isOwner) -> void { isOwner_ = isOwner; } // Of any pool.
     auto view() const -> const FleetView & { return view_; }
     auto hasCatalog() const -> bool { return view_.catalog.version() > 0; }
     auto hasWorkers() const -> bool { return hasWorkers_; }
@@ -106,6 +107,7 @@
     Offset              operatorsAt_ = -1;
     Offset              workersAt_ = -1;
     bool                hasWorkers_ = false;
+    bool                isOwner_ = false;
     bool                areOperatorsLost_ = false;
     bool                areWorkersLost_ = false;
 };
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -353,6 +353,7 @@
 
 auto PoolsTask::tick() -> void
 {
+    directory_.setOwner(!pools_.empty());
     checkHandOver();
     for (auto &[name, pool] : pools_) {
         pool->tick();
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -275,10 +275,31 @@
     auto forecast = DemandForecast();
     for (TimeMs now = 0; now <= 40'000; now += 200) {
         const auto isBurst = now % 16'000 < 4'000;
-        forecast.add(now, isBurst ? 900 : 20);
+        forecast.add(now, isBurst ? 900 : 20, 100);
     }
     cr_assert(forecast.period().has_value());
     cr_assert_leq(std::abs(*forecast.period() - 16'000), 400);
     cr_assert_eq(forecast.expected(40'000, forecast.period()), 0);
     cr_assert_eq(forecast.expected(46'500, forecast.period()), 900);
 }
+
+Test(forecast, a_burst_that_begins_is_taken_to_be_like_the_last)
+{
+    auto forecast = DemandForecast();
+    for (TimeMs now = 0; now <= 10'000; now += 200) {
+        forecast.add(now, now >= 4'000 && now < 8'000 ? 900 : 20, 100);
+    }
+    cr_assert_not(forecast.isRising(10'000));
+    cr_assert_eq(forecast.peak(), 900);
+    forecast.add(12'200, 300, 100);
+    cr_assert(forecast.isRising(12'200));
+}
+
+Test(forecast, a_few_jobs_are_no_burst)
+{
+    auto forecast = DemandForecast();
+    for (TimeMs now = 0; now <= 10'000; now += 200) {
+        forecast.add(now, now >= 4'000 ? 90 : 0, 100);
+        cr_assert_not(forecast.isRising(now));
+    }
+}
