--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -85,8 +85,8 @@
 //-----------------------------------------------------------------------------
 
 struct ForecastSettings {
-    double riseFactor = 2.0;    // A burst begins where demand exceeds its mean that many times.
-    TimeMs quietMs = 3'000;     // Demand was below that before, for at least this long.
+    double risePart = 0.2;      // Of the last peak: a burst begins where demand exceeds it.
+    TimeMs quietMs = 2'000;     // Demand was below that before, for at least this long.
     TimeMs minPeriodMs = 6'000; // Shorter distances between bursts aren't a period.
     TimeMs leadMs = 2'300;      // Room is asked for that long ahead. A move takes 1.5 s.
     TimeMs overdueMs = 1'500;   // An expected burst that hasn't come by then isn't waited for.
@@ -111,9 +111,6 @@
 
 private:
     ForecastSettings settings_;
-    TimeMs           firstAt_ = -1;
-    TimeMs           lastAt_ = 0;
-    double           mean_ = 0;    // Over all time.
     TimeMs           lowSince_ = -1;
     TimeMs           burstAt_ = -1;    // Start of the last burst.
     TimeMs           burstBefore_ = -1; // Start of the one before.
--- a/src/coordinator/forecast.cpp
+++ b/src/coordinator/forecast.cpp
@@ -10,19 +10,12 @@
 
 auto DemandForecast::add(TimeMs now, std::int64_t demandCpu, std::int64_t leastCpu) -> void
 {
-    if (firstAt_ < 0) {
-        firstAt_ = now;
-        lastAt_ = now;
+    const auto isHigh = demandCpu >= leastCpu
+        && static_cast<double>(demandCpu) > settings_.risePart * static_cast<double>(peak());
+    if (lowSince_ < 0 && !isHigh_) {
         lowSince_ = now;
     }
-    // The mean over all time so far, weighted by how long each demand lasted.
-    const auto total = static_cast<double>(std::max<TimeMs>(1, now - firstAt_));
-    const auto step = static_cast<double>(now - lastAt_);
-    mean_ += (static_cast<double>(demandCpu) - mean_) * std::min(1.0, step / total);
-    lastAt_ = now;
-    const auto isHigh = demandCpu >= leastCpu
-        && static_cast<double>(demandCpu) > settings_.riseFactor * mean_;
-    if (isHigh && !isHigh_ && lowSince_ >= 0 && now - lowSince_ >= settings_.quietMs) {
+    if (isHigh && !isHigh_ && now - lowSince_ >= settings_.quietMs) {
         burstBefore_ = burstAt_;
         burstAt_ = now;
         peakBefore_ = peak_;
@@ -31,8 +24,6 @@
     if (isHigh) {
         peak_ = std::max(peak_, demandCpu);
         lowSince_ = -1;
-    } else if (lowSince_ < 0) {
-        lowSince_ = now;
     }
     isHigh_ = isHigh;
 }
