--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -34,7 +34,7 @@
     std::string              name;
     std::vector<std::string> keys;
     double                   weight = 1; // Share of a full fleet.
-    ResourceSet                maximum;    // Across all pools. 0 in a component: no limit.
+    ResourceSet              maximum;    // Across all pools. 0 in a component: no limit.
 };
 
 struct PoolDefinition {
@@ -44,10 +44,10 @@
 };
 
 struct CatalogRules {
-    std::int64_t            version = 0;
-    std::vector<QueueRule>  queues;
-    std::vector<TenantRule> tenants;
-    std::vector<PoolDefinition>   pools;
+    std::int64_t                version = 0;
+    std::vector<QueueRule>      queues;
+    std::vector<TenantRule>     tenants;
+    std::vector<PoolDefinition> pools;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -57,7 +57,7 @@
     if (!text.ok() || !parsed.errors.empty()) {
         return kExitBadInput;
     }
-    return runNode(parsed.settings);
+    return runNode(parsed.settings, file);
 }
 
 // Adds the options that all clients take.
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -26,7 +26,7 @@
     std::string tenant;
     ResourceSet allowance; // In force at the pool.
     ResourceSet used;
-    ResourceSet wanted;    // Of tasks that could start now.
+    ResourceSet wanted; // Of tasks that could start now.
 };
 
 struct WorkerLoad {
@@ -44,7 +44,7 @@
     std::int64_t              token = 0; // Fencing token of the pool's owner.
     std::vector<TenantReport> tenants;
     std::vector<WorkerLoad>   workers;
-    ResourceSet               wanted;  // Of ready tasks without a worker.
+    ResourceSet               wanted;    // Of ready tasks without a worker.
     ResourceSet               perWorker; // Capacity of a typical worker.
 };
 
@@ -76,8 +76,8 @@
     auto isComplete() const -> bool; // Every pool has reported: what is left over is known.
 
 private:
-    std::set<std::string>                                         pools_;
-    std::map<std::string, std::map<std::string, ResourceSet>>     held_; // By pool and tenant.
+    std::set<std::string>                                     pools_;
+    std::map<std::string, std::map<std::string, ResourceSet>> held_; // By pool and tenant.
 };
 
 //-----------------------------------------------------------------------------
@@ -103,18 +103,18 @@
     auto add(TimeMs now, std::int64_t demandCpu, std::int64_t leastCpu) -> void; // Of a burst.
 
     // Queries.
-    auto period() const -> std::optional<TimeMs>;   // Between the last two bursts.
-    auto isRising(TimeMs now) const -> bool;        // A burst has just begun.
-    auto peak() const -> std::int64_t;              // Highest demand of the last bursts.
+    auto period() const -> std::optional<TimeMs>; // Between the last two bursts.
+    auto isRising(TimeMs now) const -> bool;      // A burst has just begun.
+    auto peak() const -> std::int64_t;            // Highest demand of the last bursts.
     // Returns the demand to make room for now, with the period of this or another pool.
     auto expected(TimeMs now, std::optional<TimeMs> period) const -> std::int64_t;
 
 private:
     ForecastSettings settings_;
     TimeMs           lowSince_ = -1;
-    TimeMs           burstAt_ = -1;    // Start of the last burst.
+    TimeMs           burstAt_ = -1;     // Start of the last burst.
     TimeMs           burstBefore_ = -1; // Start of the one before.
-    std::int64_t     peak_ = 0;        // Of the last burst.
+    std::int64_t     peak_ = 0;         // Of the last burst.
     std::int64_t     peakBefore_ = 0;
     bool             isHigh_ = false;
 };
@@ -124,26 +124,27 @@
 //-----------------------------------------------------------------------------
 
 struct PlannerSettings {
-    TimeMs       holderGapMs = 3'000;  // A new holder leaves machines alone that long.
-    TimeMs       reportFreshMs = 700;  // Older reports don't show that a worker is vacant.
-    TimeMs       listGapMs = 500;      // Between two listings.
-    TimeMs       callRetryMs = 500;    // After a call without an answer, or a refusal.
-    TimeMs       settleMs = 6'000;     // A machine that was called counts as away until listed again.
-    TimeMs       calledMs = 12'000;    // The worker of a machine that was called gets no new runs.
-    TimeMs       lendMs = 300;         // A machine is idle that long before another pool gets it,
-    TimeMs       surplusMs = 2'000;    // and that long before it is set aside.
-    TimeMs       blockedMs = 500;      // Ready tasks that wait that long get another machine.
-    double       spareFactor = 1.15;   // Room kept over what a pool asks for.
-    double       risingFactor = 2.0;   // A burst that begins is taken to grow so much at least.
-    double       burstMachines = 2.0;  // Less demand than of that many machines is no burst.
-    std::int64_t minMachines = 3;      // Of each pool.
-    double       floorPart = 0.5;      // Of an even split of all machines: none is set aside below.
-    double       lendFloorPart = 0.3;  // The same: none is lent to another pool below.
-    double       maxCordoned = 0.34;   // Part of a pool that maintenance takes at once.
-    bool         isMoving = true;      // Moves machines between pools.
+    TimeMs       holderGapMs = 3'000; // A new holder leaves machines alone that long.
+    TimeMs       reportFreshMs = 700; // Older reports don't show that a worker is vacant.
+    TimeMs       listGapMs = 500;     // Between two listings.
+    TimeMs       callRetryMs = 500;   // After a call without an answer, or a refusal.
+    TimeMs       settleMs = 6'000;   // A machine that was called counts as away until listed again.
+    TimeMs       calledMs = 12'000;  // The worker of a machine that was called gets no new runs.
+    TimeMs       lendMs = 300;       // A machine is idle that long before another pool gets it,
+    TimeMs       surplusMs = 2'000;  // and that long before it is set aside.
+    TimeMs       blockedMs = 500;    // Ready tasks that wait that long get another machine.
+    double       spareFactor = 1.15; // Room kept over what a pool asks for.
+    double       risingFactor = 2.0; // A burst that begins is taken to grow so much at least.
+    double       burstMachines = 2.0; // Less demand than of that many machines is no burst.
+    std::int64_t minMachines = 3;     // Of each pool.
+    double       floorPart = 0.5;     // Of an even split of all machines: none is set aside below.
+    double       lendFloorPart = 0.3; // The same: none is lent to another pool below.
+    double       maxCordoned = 0.34;  // Part of a pool that maintenance takes at once.
+    bool         isMoving = true;     // Moves machines between pools.
 };
 
-struct ListMachines { };
+struct ListMachines {
+};
 struct MoveMachine {
     std::string machine;
     std::string pool;
@@ -191,17 +192,17 @@
         bool                  isWriting = false;
     };
     struct Machine {
-        MachineEntry entry;
-        bool         isListed = false;
-        bool         isCalling = false;  // A call is under way.
-        TimeMs       awayUntil = 0;      // It was called, and isn't known to be back.
-        bool         wasSeenAway = false; // Listed as away since it was called.
-        std::string  calledWorker;       // Its worker at the time of the call.
-        TimeMs       retryAt = 0;
-        TimeMs       idleSince = -1;
-        std::string  wantedPool;         // It is being emptied to move there.
-        std::string  wantedWave;         // It is being emptied for maintenance.
-        std::string  movingTo;           // It was called to move there, and isn't back yet.
+        MachineEntry          entry;
+        bool                  isListed = false;
+        bool                  isCalling = false;   // A call is under way.
+        TimeMs                awayUntil = 0;       // It was called, and isn't known to be back.
+        bool                  wasSeenAway = false; // Listed as away since it was called.
+        std::string           calledWorker;        // Its worker at the time of the call.
+        TimeMs                retryAt = 0;
+        TimeMs                idleSince = -1;
+        std::string           wantedPool; // It is being emptied to move there.
+        std::string           wantedWave; // It is being emptied for maintenance.
+        std::string           movingTo;   // It was called to move there, and isn't back yet.
         std::set<std::string> refusedPools;
     };
     struct Pool {
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -90,8 +90,7 @@
             machine.wasSeenAway = true;
         }
         const auto isNewLife = !entry.worker.empty() && entry.worker != machine.calledWorker;
-        const auto isBack =
-            entry.state == MachineState::Up && (machine.wasSeenAway || isNewLife);
+        const auto isBack = entry.state == MachineState::Up && (machine.wasSeenAway || isNewLife);
         if (isBack && !machine.isCalling) {
             machine.awayUntil = 0;
         }
@@ -175,8 +174,8 @@
 auto MachinePlanner::tick(TimeMs now) -> void
 {
     const auto isNeeded = settings_.isMoving || std::ranges::any_of(waves_, [](const auto &item) {
-        return !item.second.isCompletedWritten;
-    });
+                              return !item.second.isCompletedWritten;
+                          });
     if (!isListing_ && isNeeded && now >= listAt_) {
         isListing_ = true;
         actions_.push_back(ListMachines{});
@@ -251,8 +250,9 @@
         }
         const auto &pool = machine->entry.pool;
         const auto  most = std::max<std::int64_t>(
-            1, static_cast<std::int64_t>(settings_.maxCordoned
-                                         * static_cast<double>(countMachines(pool))));
+            1,
+            static_cast<std::int64_t>(settings_.maxCordoned
+                                      * static_cast<double>(countMachines(pool))));
         if (!isStandby(pool) && machine->isListed && countCordoned(pool) >= most) {
             continue;
         }
@@ -303,17 +303,17 @@
         lastingWorkers += worker.lastingRuns > 0 ? 1 : 0;
     }
     if (pool.forecast.isRising(now)) {
-        const auto grown = static_cast<std::int64_t>(settings_.risingFactor * static_cast<double>(timed));
+        const auto grown =
+            static_cast<std::int64_t>(settings_.risingFactor * static_cast<double>(timed));
         timed = std::max(grown, sharedPeak());
     }
     timed = std::max(timed, pool.forecast.expected(now, period));
     const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
-        return static_cast<std::int64_t>(std::ceil(static_cast<double>(amount)
-                                                   * settings_.spareFactor
-                                                   / static_cast<double>(of)));
+        return static_cast<std::int64_t>(std::ceil(
+            static_cast<double>(amount) * settings_.spareFactor / static_cast<double>(of)));
     };
-    auto desired = std::max({settings_.minMachines, lastingWorkers,
-                             toMachines(timed + lasting, unit.cpu)});
+    auto desired =
+        std::max({settings_.minMachines, lastingWorkers, toMachines(timed + lasting, unit.cpu)});
     if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedMs) {
         desired = std::max(desired, have + 1);
     }
@@ -333,13 +333,14 @@
     balance.missing = std::max<std::int64_t>(0, desired - have);
     balance.lendable =
         std::max<std::int64_t>(0, have - std::max(desired, part(settings_.lendFloorPart)));
-    balance.surplus = std::max<std::int64_t>(0, have - std::max(desired, part(settings_.floorPart)));
+    balance.surplus =
+        std::max<std::int64_t>(0, have - std::max(desired, part(settings_.floorPart)));
     return balance;
 }
 
 // Returns the pool that misses most, or nothing.
 auto MachinePlanner::chooseNeedy(const std::map<std::string, Balance> &balances,
-                                 const Machine &machine) const -> std::string
+                                 const Machine                        &machine) const -> std::string
 {
     auto         needy = std::string();
     std::int64_t most = 0;
@@ -374,9 +375,8 @@
             idle.push_back(&machine);
         }
     }
-    std::ranges::sort(idle, {}, [&](const Machine *machine) {
-        return !isStandby(machine->entry.pool);
-    });
+    std::ranges::sort(idle, {},
+                      [&](const Machine *machine) { return !isStandby(machine->entry.pool); });
     return idle;
 }
 
@@ -391,11 +391,11 @@
         }
     }
     for (auto *machine : findIdle(now)) {
-        auto       &from = balances[machine->entry.pool];
-        const auto  isStandingBy = isStandby(machine->entry.pool);
-        const auto  isOut = evacuated_.contains(machine->entry.zone);
-        const auto  needy = isOut ? std::string() : chooseNeedy(balances, *machine);
-        const auto  isRested = now - machine->idleSince >= settings_.surplusMs;
+        auto      &from = balances[machine->entry.pool];
+        const auto isStandingBy = isStandby(machine->entry.pool);
+        const auto isOut = evacuated_.contains(machine->entry.zone);
+        const auto needy = isOut ? std::string() : chooseNeedy(balances, *machine);
+        const auto isRested = now - machine->idleSince >= settings_.surplusMs;
         if (!needy.empty() && (isStandingBy || from.lendable > 0)) {
             machine->wantedPool = needy;
             --balances[needy].missing;
@@ -522,8 +522,7 @@
     });
 }
 
-auto MachinePlanner::cordonedOf(TimeMs now, std::string_view pool) const
-    -> std::vector<std::string>
+auto MachinePlanner::cordonedOf(TimeMs now, std::string_view pool) const -> std::vector<std::string>
 {
     auto workers = std::vector<std::string>();
     for (const auto &[name, machine] : machines_) {
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -36,7 +36,7 @@
 
 struct StepSpec {
     std::int64_t              count = 1; // Tasks.
-    ResourceSet                 need;      // Of each task.
+    ResourceSet               need;      // Of each task.
     TimeMs                    estimateMs = 0;
     std::vector<std::int64_t> after;               // Earlier steps that have to be done first.
     std::string               requiredLabel;       // Empty: any worker.
@@ -116,11 +116,11 @@
 };
 
 struct Job {
-    JobSpec                          spec;
-    std::int64_t                     acceptedAtMs = 0; // Wall clock.
-    JobState                         state = JobState::Queued;
+    JobSpec                            spec;
+    std::int64_t                       acceptedAtMs = 0; // Wall clock.
+    JobState                           state = JobState::Queued;
     std::map<std::int64_t, Occurrence> occurrences; // Made when due.
-    std::int64_t                     doneOccurrences = 0;
+    std::int64_t                       doneOccurrences = 0;
 
     auto isOver() const -> bool { return state >= JobState::Completed; }
 };
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -40,7 +40,8 @@
 };
 
 auto encodeHandOver(const std::string &pool, const HandOver &note) -> KeyedRecord;
-auto dropHandOver(const std::string &pool) -> KeyedRecord; // Before the new owner extends any lease.
+auto dropHandOver(const std::string &pool)
+    -> KeyedRecord; // Before the new owner extends any lease.
 
 // Returns nothing if the last owner of the pool left no note.
 auto findHandOver(const std::string &pool, const std::vector<KeyedRecord> &records)
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -90,8 +90,7 @@
 }
 
 // Returns how many lines of the event were dropped before this one, or nothing to drop it too.
-auto takeToken(Output &out, std::string_view event, std::int64_t now)
-    -> std::optional<std::int64_t>
+auto takeToken(Output &out, std::string_view event, std::int64_t now) -> std::optional<std::int64_t>
 {
     auto found = out.buckets.find(event);
     if (found == out.buckets.end()) {
@@ -154,8 +153,9 @@
         return;
     }
     if (*dropped > 0) {
-        appendLine(out, formatLogLine(out.settings.node, now, LogLevel::Warning, "log.dropped",
-                                      {{"of", event}, {"lines", *dropped}}));
+        appendLine(out,
+                   formatLogLine(out.settings.node, now, LogLevel::Warning, "log.dropped",
+                                 {{"of", event}, {"lines", *dropped}}));
     }
     appendLine(out, formatLogLine(out.settings.node, now, level, event, fields));
     if (out.buffer.size() >= kFlushBytes) {
@@ -188,8 +188,9 @@
     }
     if (out.lostLines > 0) {
         const auto lost = std::exchange(out.lostLines, 0);
-        appendLine(out, formatLogLine(out.settings.node, nowMs(), LogLevel::Warning, "log.dropped",
-                                      {{"of", "all"}, {"lines", lost}}));
+        appendLine(out,
+                   formatLogLine(out.settings.node, nowMs(), LogLevel::Warning, "log.dropped",
+                                 {{"of", "all"}, {"lines", lost}}));
     }
 }
 
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -27,7 +27,7 @@
 enum class LogLevel { Debug, Info, Warning, Error };
 
 struct LogField {
-    std::string_view                                         name;
+    std::string_view                                           name;
     std::variant<std::string_view, std::int64_t, double, bool> value;
 
     LogField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text) { }
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -22,8 +22,7 @@
 //-----------------------------------------------------------------------------
 
 JobCallerTask::JobCallerTask(EventLoop &loop, const NodeSettings &settings,
-                             DirectoryTask &directory, OwnershipTask &ownership,
-                             RouterTask &router)
+                             DirectoryTask &directory, OwnershipTask &ownership, RouterTask &router)
     : loop_(loop), settings_(settings), directory_(directory), ownership_(ownership),
       router_(router), server_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes}),
       readyServer_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes})
@@ -71,8 +70,7 @@
 {
     auto reply = HttpReply{status, "application/json", writeError(reason), {}};
     if (retryAfterMs > 0) {
-        reply.headers["Retry-After"] =
-            std::to_string((retryAfterMs + kSecondMs - 1) / kSecondMs);
+        reply.headers["Retry-After"] = std::to_string((retryAfterMs + kSecondMs - 1) / kSecondMs);
     }
     if (isStopping_) {
         reply.headers["Connection"] = "close";
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -126,14 +126,14 @@
 
 auto CoordinatorTask::perform(const WriteWaveState &action) -> void
 {
-    directoryService_.writeWaveState(
-        action.wave, action.isCompleted, [duty = duty_, action](CallOutcome outcome) {
-            logEvent(LogLevel::Info, "wave.state",
-                     {{"wave", action.wave},
-                      {"completed", action.isCompleted},
-                      {"outcome", static_cast<int>(outcome)}});
-            duty->planner.onWaveWritten(action, outcome);
-        });
+    directoryService_.writeWaveState(action.wave, action.isCompleted,
+                                     [duty = duty_, action](CallOutcome outcome) {
+                                         logEvent(LogLevel::Info, "wave.state",
+                                                  {{"wave", action.wave},
+                                                   {"completed", action.isCompleted},
+                                                   {"outcome", static_cast<int>(outcome)}});
+                                         duty->planner.onWaveWritten(action, outcome);
+                                     });
 }
 
 //-----------------------------------------------------------------------------
@@ -141,8 +141,7 @@
 //-----------------------------------------------------------------------------
 
 ReporterTask::ReporterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
-                           PoolsTask &pools, CoordinatorTask &coordinator,
-                           OwnershipTask &ownership)
+                           PoolsTask &pools, CoordinatorTask &coordinator, OwnershipTask &ownership)
     : loop_(loop), peers_(peers), settings_(settings), pools_(pools), coordinator_(coordinator),
       ownership_(ownership),
       timer_(std::make_unique<Timer>(loop, settings.reportMs, [this] { report(); }))
@@ -180,8 +179,10 @@
         return;
     }
     reporting_.insert(name);
-    auto call = HttpCall{"POST", std::string(kCoordinatorPath),
-                         {{"Content-Type", "application/msgpack"}}, packReport(report),
+    auto call = HttpCall{"POST",
+                         std::string(kCoordinatorPath),
+                         {{"Content-Type", "application/msgpack"}},
+                         packReport(report),
                          settings_.ownerCallMs};
     peers_.request(address, std::move(call),
                    [this, name, token = report.token](const HttpResult &result) {
@@ -226,8 +227,8 @@
                                const PoolDirection &direction) -> void
 {
     const auto found = pools_.pools().find(name);
-    const auto isCurrent = found != pools_.pools().end()
-        && found->second->identity().token == token && direction.token >= newestToken_;
+    const auto isCurrent = found != pools_.pools().end() && found->second->identity().token == token
+        && direction.token >= newestToken_;
     if (isCurrent) {
         newestToken_ = direction.token;
         found->second->direct(direction);
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -50,26 +50,25 @@
 
 auto DirectoryTask::readWorkers() -> void
 {
-    directory_.read(DirectorySource::Workers, workersAt_, 0,
-                    [this](const absl::StatusOr<DirectoryPage> &page) {
-                        if (!page.ok()) {
-                            if (!std::exchange(areWorkersLost_, true)) {
-                                logEvent(LogLevel::Warning, "directory.lost",
-                                         {{"source", "workers"},
-                                          {"error", page.status().ToString()}});
-                            }
-                        } else {
-                            if (std::exchange(areWorkersLost_, false)) {
-                                logEvent(LogLevel::Info, "directory.regained",
-                                         {{"source", "workers"}, {"offset", page->next}});
-                            }
-                            workersAt_ = page->next;
-                            hasWorkers_ = true;
-                            apply(DirectorySource::Workers, *page);
-                        }
-                        loop_.post([this] { readWorkers(); }, isOwner_ ? settings_.workersPollMs
-                                                                       : settings_.idlePollMs);
-                    });
+    directory_.read(
+        DirectorySource::Workers, workersAt_, 0, [this](const absl::StatusOr<DirectoryPage> &page) {
+            if (!page.ok()) {
+                if (!std::exchange(areWorkersLost_, true)) {
+                    logEvent(LogLevel::Warning, "directory.lost",
+                             {{"source", "workers"}, {"error", page.status().ToString()}});
+                }
+            } else {
+                if (std::exchange(areWorkersLost_, false)) {
+                    logEvent(LogLevel::Info, "directory.regained",
+                             {{"source", "workers"}, {"offset", page->next}});
+                }
+                workersAt_ = page->next;
+                hasWorkers_ = true;
+                apply(DirectorySource::Workers, *page);
+            }
+            loop_.post([this] { readWorkers(); },
+                       isOwner_ ? settings_.workersPollMs : settings_.idlePollMs);
+        });
 }
 
 auto DirectoryTask::apply(DirectorySource source, const DirectoryPage &page) -> void
@@ -100,7 +99,8 @@
                           {"tenants", rules->rules.tenants.size()}});
             }
         } else if (const auto *zone = std::get_if<ZoneEvacuation>(&change)) {
-            logEvent(LogLevel::Info, "zone.evacuation", {{"zone", zone->zone}, {"out", zone->isOut}});
+            logEvent(LogLevel::Info, "zone.evacuation",
+                     {{"zone", zone->zone}, {"out", zone->isOut}});
             if (zone->isOut) {
                 view_.evacuatedZones.insert(zone->zone);
             } else {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,7 +4,9 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <fstream>
 #include <random>
+#include <sstream>
 
 namespace peridotwalk {
 
@@ -36,8 +38,8 @@
 class Node
 {
 public:
-    explicit Node(NodeSettings settings)
-        : settings_(std::move(settings)), connections_(loop_, poolLimits()),
+    Node(NodeSettings settings, std::string file)
+        : settings_(std::move(settings)), file_(std::move(file)), connections_(loop_, poolLimits()),
           journal_(makeJournalStore(connections_, settings_.platform)),
           group_(makeOwnershipGroup(connections_, settings_.platform)),
           directoryService_(makeDirectory(connections_, settings_.platform)),
@@ -90,9 +92,27 @@
         static_cast<Node *>(self)->beginStop();
     }
 
-    static auto onHangUp(evutil_socket_t /*number*/, short /*events*/, void * /*self*/) -> void
+    static auto onHangUp(evutil_socket_t /*number*/, short /*events*/, void *self) -> void
     {
-        logEvent(LogLevel::Info, "settings.reload", {{"changed", false}});
+        static_cast<Node *>(self)->reloadSettings();
+    }
+
+    // Tasks read their settings through a reference, so new values hold from the next use.
+    auto reloadSettings() -> void
+    {
+        auto input = std::ifstream(file_);
+        auto text = std::stringstream();
+        text << input.rdbuf();
+        const auto parsed = parseNodeSettings(text.str());
+        for (const auto &error : parsed.errors) {
+            logEvent(LogLevel::Error, "settings.rejected",
+                     {{"file", file_}, {"path", error.path}, {"reason", error.reason}});
+        }
+        if (!input.is_open() || !parsed.errors.empty()) {
+            return;
+        }
+        settings_ = parsed.settings;
+        logEvent(LogLevel::Info, "settings.reload", {{"file", file_}});
     }
 
     // Hands the pools over once their appends are through, and serves callers on by way of the new
@@ -118,6 +138,7 @@
     }
 
     NodeSettings                    settings_;
+    std::string                     file_;
     EventLoop                       loop_;
     ConnectionPool                  connections_;
     std::unique_ptr<JournalStore>   journal_;
@@ -143,11 +164,11 @@
 // [SECTION] Node
 //-----------------------------------------------------------------------------
 
-auto runNode(const NodeSettings &settings) -> int
+auto runNode(const NodeSettings &settings, const std::string &file) -> int
 {
     configureLog({settings.name, 1, settings.logLevel});
     std::signal(SIGPIPE, SIG_IGN);
-    auto node = Node(settings);
+    auto node = Node(settings, file);
     return node.run();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -34,16 +34,16 @@
     OwnershipSettings ownership;
     PoolSettings      pool;
     PlannerSettings   planner;
-    TimeMs            tickMs = 20;           // Retries, batches and due occurrences.
-    TimeMs            workersPollMs = 200;   // Reading of workers' reports, by owners of pools.
-    TimeMs            idlePollMs = 1'000;    // The same by other nodes.
-    TimeMs            callBudgetMs = 3'000;  // Of callers that name none.
-    TimeMs            callMarginMs = 150;    // An answer leaves that long before the budget ends.
-    TimeMs            routeRetryMs = 100;    // Between two tries to reach a pool's owner.
-    TimeMs            ownerCallMs = 1'000;   // A try that takes longer has an unknown outcome.
-    TimeMs            stopLingerMs = 3'500;  // After a planned stop callers are served on that long.
-    TimeMs            retryAfterMs = 1'000;  // Told to callers that are refused.
-    TimeMs            reportMs = 100;        // Owners report to the coordinator that often.
+    TimeMs            tickMs = 20;          // Retries, batches and due occurrences.
+    TimeMs            workersPollMs = 200;  // Reading of workers' reports, by owners of pools.
+    TimeMs            idlePollMs = 1'000;   // The same by other nodes.
+    TimeMs            callBudgetMs = 3'000; // Of callers that name none.
+    TimeMs            callMarginMs = 150;   // An answer leaves that long before the budget ends.
+    TimeMs            routeRetryMs = 100;   // Between two tries to reach a pool's owner.
+    TimeMs            ownerCallMs = 1'000;  // A try that takes longer has an unknown outcome.
+    TimeMs            stopLingerMs = 3'500; // After a planned stop callers are served on that long.
+    TimeMs            retryAfterMs = 1'000; // Told to callers that are refused.
+    TimeMs            reportMs = 100;       // Owners report to the coordinator that often.
     std::int64_t      maxHeaderBytes = 16'384;
     std::int64_t      maxBodyBytes = 262'144;
     LogLevel          logLevel = LogLevel::Info;
@@ -61,7 +61,8 @@
 //-----------------------------------------------------------------------------
 
 // Runs until SIGTERM or SIGINT. Returns the exit code: 0 after a planned stop, 1 if an address can't be
-// bound.
-auto runNode(const NodeSettings &settings) -> int;
+// bound. SIGHUP reads the file again; settings with errors are named in the log and not taken. Addresses
+// take effect at the next start.
+auto runNode(const NodeSettings &settings, const std::string &file) -> int;
 
 } // namespace peridotwalk
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -44,8 +44,8 @@
 
 enum class PoolStatus {
     Ok,
-    Missing, // The owner knows no such job.
-    Refused, // Not taken, and never will be under this call.
+    Missing,  // The owner knows no such job.
+    Refused,  // Not taken, and never will be under this call.
     NotOwner, // Nothing was done. Another node owns the pool, or nobody yet.
     Unknown,  // It may have been done.
 };
@@ -124,9 +124,9 @@
                   std::string member);
 
     auto start() -> void;
-    auto beginLeave() -> void; // Nothing is renewed any more.
-    auto leave() -> void;      // After the pools were handed over.
-    auto refreshOwners() -> void;                   // At most one reading at a time.
+    auto beginLeave() -> void;    // Nothing is renewed any more.
+    auto leave() -> void;         // After the pools were handed over.
+    auto refreshOwners() -> void; // At most one reading at a time.
 
     auto ownership() const -> const Ownership & { return ownership_; }
     auto memberOf(std::string_view pool) const -> std::string; // Empty: not known.
@@ -214,7 +214,8 @@
     std::int64_t                           lastHandle_ = 0;
     std::map<std::int64_t, PoolAnswerSlot> callers_;
     bool                                   isRunning_ = false;
-    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true); // False: late answers go nowhere.
+    std::shared_ptr<bool>                  isAlive_ =
+        std::make_shared<bool>(true); // False: late answers go nowhere.
 };
 
 // The pools that this node owns.
@@ -316,13 +317,13 @@
     auto perform(const MaintainMachine &action) -> void;
     auto perform(const WriteWaveState &action) -> void;
 
-    EventLoop            &loop_;
-    MachineService       &machines_;
-    Directory            &directoryService_;
-    const NodeSettings   &settings_;
-    DirectoryTask        &directory_;
-    OwnershipTask        &ownership_;
-    std::shared_ptr<Duty> duty_; // Nothing: another node has it. Calls under way keep the old one.
+    EventLoop             &loop_;
+    MachineService        &machines_;
+    Directory             &directoryService_;
+    const NodeSettings    &settings_;
+    DirectoryTask         &directory_;
+    OwnershipTask         &ownership_;
+    std::shared_ptr<Duty>  duty_; // Nothing: another node has it. Calls under way keep the old one.
     std::unique_ptr<Timer> timer_;
 };
 
@@ -340,16 +341,16 @@
     auto onDirection(const std::string &name, std::int64_t token, const PoolDirection &direction)
         -> void;
 
-    EventLoop             &loop_;
-    ConnectionPool        &peers_;
-    const NodeSettings    &settings_;
-    PoolsTask             &pools_;
-    CoordinatorTask       &coordinator_;
-    OwnershipTask         &ownership_;
-    std::set<std::string>  reporting_; // Pools whose report waits for its answer.
-    std::int64_t           newestToken_ = 0;
+    EventLoop                    &loop_;
+    ConnectionPool               &peers_;
+    const NodeSettings           &settings_;
+    PoolsTask                    &pools_;
+    CoordinatorTask              &coordinator_;
+    OwnershipTask                &ownership_;
+    std::set<std::string>         reporting_; // Pools whose report waits for its answer.
+    std::int64_t                  newestToken_ = 0;
     std::map<std::string, TimeMs> statusAt_; // The next status line, by pool.
-    std::unique_ptr<Timer> timer_;
+    std::unique_ptr<Timer>        timer_;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr TimeMs kOwnersGapMs = 100;   // Least time between two readings of the owners.
-constexpr TimeMs kRenewRetryMs = 150;  // After a renewal that failed.
+constexpr TimeMs kOwnersGapMs = 100;  // Least time between two readings of the owners.
+constexpr TimeMs kRenewRetryMs = 150; // After a renewal that failed.
 
 } // namespace
 
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -152,8 +152,7 @@
     }
     if (call.verb == PoolVerb::Query) {
         const auto state = scheduler_->jobState(call.job);
-        slot(state ? PoolAnswer{PoolStatus::Ok, *state}
-                   : PoolAnswer{PoolStatus::Missing});
+        slot(state ? PoolAnswer{PoolStatus::Ok, *state} : PoolAnswer{PoolStatus::Missing});
         return;
     }
     if (call.verb == PoolVerb::CountPending) {
@@ -186,14 +185,14 @@
 
 auto PoolTask::perform(AppendJournal &action) -> void
 {
-    services_.journal.append({identity_.pool, partition_, identity_.token, action.sequence},
-                             action.records,
-                             [this, alive = isAlive_, sequence = action.sequence](CallOutcome outcome) {
-                                 if (*alive) {
-                                     scheduler_->onAppended(readMoment(), sequence, outcome);
-                                     run();
-                                 }
-                             });
+    services_.journal.append(
+        {identity_.pool, partition_, identity_.token, action.sequence}, action.records,
+        [this, alive = isAlive_, sequence = action.sequence](CallOutcome outcome) {
+            if (*alive) {
+                scheduler_->onAppended(readMoment(), sequence, outcome);
+                run();
+            }
+        });
 }
 
 auto PoolTask::perform(AnswerCaller &action) -> void
@@ -278,7 +277,9 @@
         }
     });
     ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
-    ownership.handOverLost = [this](std::function<void()> done) { handOver(false, std::move(done)); };
+    ownership.handOverLost = [this](std::function<void()> done) {
+        handOver(false, std::move(done));
+    };
     ownership.renewed.connect([this](TimeMs termUntil) {
         for (auto &[name, pool] : pools_) {
             pool->setTerm(termUntil);
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -53,8 +53,11 @@
         return;
     }
     const auto timeout = std::min(settings_.ownerCallMs, trip->deadline - now);
-    auto       call = HttpCall{"POST", std::string(kPoolsPath),
-                         {{"Content-Type", "application/msgpack"}}, packCall(trip->call), timeout};
+    auto       call = HttpCall{"POST",
+                         std::string(kPoolsPath),
+                         {{"Content-Type", "application/msgpack"}},
+                         packCall(trip->call),
+                         timeout};
     peers_.request(address, std::move(call), [slot](const HttpResult &result) {
         if (!result.isWhole) {
             slot({result.isWritten ? PoolStatus::Unknown : PoolStatus::NotOwner, JobState::Queued,
@@ -73,8 +76,7 @@
 auto RouterTask::onAnswer(const std::shared_ptr<Trip> &trip, const PoolAnswer &answer) -> void
 {
     trip->isUnknown = trip->isUnknown || answer.status == PoolStatus::Unknown;
-    const auto isFinal =
-        answer.status == PoolStatus::Ok || answer.status == PoolStatus::Missing;
+    const auto isFinal = answer.status == PoolStatus::Ok || answer.status == PoolStatus::Missing;
     const auto isRefused = answer.status == PoolStatus::Refused;
     if (isFinal || (isRefused && !trip->isUnknown)) {
         trip->slot(answer);
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -57,7 +57,12 @@
         if (!worker.isListed) {
             continue;
         }
-        auto load = WorkerLoad{id, std::ssize(worker.runs), 0, 0, 0, worker.isCordoned,
+        auto load = WorkerLoad{id,
+                               std::ssize(worker.runs),
+                               0,
+                               0,
+                               0,
+                               worker.isCordoned,
                                mayStartOn(worker) && worker.holdFailures == 0};
         for (const auto &[ref, run] : worker.runs) {
             const auto &step = stepOf(jobs_.at(ref.job), ref);
@@ -121,8 +126,9 @@
         }
         const auto &task = tasks[index];
         const auto  worker = workers_.find(task.worker);
-        const auto  other = TaskRef{ref.job, ref.occurrence, ref.step, static_cast<std::int64_t>(index)};
-        const auto  isAtWork = task.phase == RunPhase::Running && worker != workers_.end()
+        const auto  other =
+            TaskRef{ref.job, ref.occurrence, ref.step, static_cast<std::int64_t>(index)};
+        const auto isAtWork = task.phase == RunPhase::Running && worker != workers_.end()
             && worker->second.holdFailures == 0 && worker->second.runs.contains(other)
             && worker->second.runs.at(other).percent >= kAtWorkPercent;
         away += isAtWork ? 0 : 1;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -22,8 +22,8 @@
 // For the log: what the steps ask for, in a few words.
 auto describe(const JobSpec &spec) -> std::string
 {
-    auto text = fmt::format("queue {} tenant {} occurrences {}", spec.queue, spec.tenant,
-                            spec.occurrences);
+    auto text =
+        fmt::format("queue {} tenant {} occurrences {}", spec.queue, spec.tenant, spec.occurrences);
     for (const auto &step : spec.steps) {
         text += fmt::format("; {} x cpu {} mem {} estimate {} max/worker {}{}{}{}{}{} target {} "
                             "budget {} image {}",
@@ -211,8 +211,8 @@
         worker.failuresInRow = 0;
         task->isDone = true;
         if (stepOf(entry, ref).isGang) {
-            for (auto &member :
-                 entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)]) {
+            for (auto &member : entry.job.occurrences.at(ref.occurrence)
+                                    .steps[static_cast<std::size_t>(ref.step)]) {
                 member.isDone = true;
             }
         }
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -27,7 +27,8 @@
     }
     const auto isDropDue = note_.has_value() && !isNoteDropped_;
     const auto isHandOverDue = handOver_ == HandOverStage::Due;
-    if (changed_.empty() && submitted_.empty() && effects_.empty() && !isDropDue && !isHandOverDue) {
+    if (changed_.empty() && submitted_.empty() && effects_.empty() && !isDropDue
+        && !isHandOverDue) {
         return;
     }
     if (now.steadyMs - flushedAt_ < settings_.flushGapMs && !isHandOverDue) {
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr double kHopelessPart = 0.6;   // Of the work left by its estimate.
-constexpr int    kLateObjectives = 3;   // Work counts as late up to that many objectives.
+constexpr double kHopelessPart = 0.6;      // Of the work left by its estimate.
+constexpr int    kLateObjectives = 3;      // Work counts as late up to that many objectives.
 constexpr double kLastingMemoryLeft = 0.4; // Of a worker, for timed work beside lasting work.
-constexpr double kPackWeight = 0.3;     // Of packing, against balance between cpu and memory.
+constexpr double kPackWeight = 0.3;        // Of packing, against balance between cpu and memory.
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
@@ -42,8 +42,8 @@
 {
     const auto objective = queue.objectiveMs
         + static_cast<TimeMs>(queue.stretch * static_cast<double>(longestChain(spec, nullptr)));
-    const auto left = static_cast<TimeMs>(
-        kHopelessPart * static_cast<double>(longestChain(spec, &occurrence)));
+    const auto left =
+        static_cast<TimeMs>(kHopelessPart * static_cast<double>(longestChain(spec, &occurrence)));
     if (nowMs + left <= dueMs + objective) {
         return Standing::OnTime;
     }
@@ -117,8 +117,7 @@
             step.remaining = remainingWork(job.spec, occurrence);
             if (queue != nullptr) {
                 step.priority = queue->priority;
-                step.standing =
-                    standingOf(*queue, job.spec, occurrence, step.dueMs, now.wallMs);
+                step.standing = standingOf(*queue, job.spec, occurrence, step.dueMs, now.wallMs);
             }
             for (step.step = 0; step.step < std::ssize(job.spec.steps); ++step.step) {
                 step.isLongRunning =
@@ -220,8 +219,8 @@
     if (isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone)) {
         return;
     }
-    const auto &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
-    const auto &tenant = entry.job.spec.tenant;
+    const auto  &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
+    const auto  &tenant = entry.job.spec.tenant;
     std::int64_t run = 0;
     for (const auto &task : tasks) {
         run = std::max(run, task.run);
@@ -231,7 +230,7 @@
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
-        auto *worker = mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref) : nullptr;
+        auto      *worker = mayUse(tenant, spec.need) ? chooseWorker(now, entry, ref) : nullptr;
         if (worker == nullptr) {
             break;
         }
@@ -315,7 +314,7 @@
         return;
     }
     entry.explainAt = now.steadyMs + kExplainGapMs;
-    const auto need = roomNeed(stepOf(entry, ref));
+    const auto   need = roomNeed(stepOf(entry, ref));
     std::int64_t usable = 0;
     std::int64_t allowed = 0;
     std::int64_t roomy = 0;
@@ -331,10 +330,11 @@
         most.memoryMb = std::max(most.memoryMb, worker.room().memoryMb);
     }
     note("task.waits", ref, 0, "",
-         fmt::format("workers {} usable {} allowed {} with room {}; needs cpu {} memory {}; most free "
-                     "cpu {} memory {}",
-                     workers_.size(), usable, allowed, roomy, need.cpu, need.memoryMb, most.cpu,
-                     most.memoryMb));
+         fmt::format(
+             "workers {} usable {} allowed {} with room {}; needs cpu {} memory {}; most free "
+             "cpu {} memory {}",
+             workers_.size(), usable, allowed, roomy, need.cpu, need.memoryMb, most.cpu,
+             most.memoryMb));
 }
 
 // Keeps timed tasks off the worker where a lasting task will find room soonest: small timed tasks would
@@ -342,7 +342,7 @@
 auto PoolScheduler::State::reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
     -> void
 {
-    const auto need = roomNeed(stepOf(entry, ref));
+    const auto    need = roomNeed(stepOf(entry, ref));
     const Worker *best = nullptr;
     for (const auto &[id, worker] : workers_) {
         if (!need.fits(worker.report.capacity) || !isAllowed(now, worker, entry, ref)) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -34,20 +34,20 @@
 };
 
 struct PoolSettings {
-    TimeMs leaseMs = 6'000;         // What holds and starts give. Bounds work lost to silent workers.
-    TimeMs maxLeaseMs = 10'000;     // Workers shorten longer leases to this.
-    TimeMs holdWaitMs = 1'000;      // A hold waits that long for an end.
-    TimeMs holdRetryMs = 250;       // After a hold without an answer.
-    TimeMs orderRetryMs = 300;      // After an order without an answer.
-    TimeMs caretakerMs = 3'000;     // An owner without the store extends leases that much longer.
+    TimeMs leaseMs = 6'000;     // What holds and starts give. Bounds work lost to silent workers.
+    TimeMs maxLeaseMs = 10'000; // Workers shorten longer leases to this.
+    TimeMs holdWaitMs = 1'000;  // A hold waits that long for an end.
+    TimeMs holdRetryMs = 250;   // After a hold without an answer.
+    TimeMs orderRetryMs = 300;  // After an order without an answer.
+    TimeMs caretakerMs = 3'000; // An owner without the store extends leases that much longer.
     TimeMs cordonPatienceMs = 5'000; // Timed tasks on a worker that is emptied may go on that long.
-    TimeMs missingMs = 2'000;       // All nodes see within that that a worker's entry went.
-    TimeMs flushGapMs = 10;         // Least time between appends. Batches changes.
-    TimeMs journalStallMs = 600;    // New jobs are refused while an append is older than that.
-    TimeMs stopMs = 200;            // A worker ends a stopped run within that.
-    TimeMs avoidMs = 3'000;         // A worker that failed several runs in a row rests that long.
-    int    maxFailuresInRow = 3;    // Of one worker before it rests.
-    int    maxStartAttempts = 4;    // Unanswered starts before the run is stopped.
+    TimeMs missingMs = 2'000;        // All nodes see within that that a worker's entry went.
+    TimeMs flushGapMs = 10;          // Least time between appends. Batches changes.
+    TimeMs journalStallMs = 600;     // New jobs are refused while an append is older than that.
+    TimeMs stopMs = 200;             // A worker ends a stopped run within that.
+    TimeMs avoidMs = 3'000;          // A worker that failed several runs in a row rests that long.
+    int    maxFailuresInRow = 3;     // Of one worker before it rests.
+    int    maxStartAttempts = 4;     // Unanswered starts before the run is stopped.
 };
 
 //-----------------------------------------------------------------------------
@@ -59,8 +59,8 @@
     Catalog                             catalog;
     std::set<std::string>               evacuatedZones;
     std::map<std::string, WaveOrder>    waves;
-    std::map<std::string, WorkerReport> workers; // By id.
-    std::map<std::string, TimeMs>       removed; // Workers whose entry went, and when.
+    std::map<std::string, WorkerReport> workers;   // By id.
+    std::map<std::string, TimeMs>       removed;   // Workers whose entry went, and when.
     TimeMs                              since = 0; // Workers are known from then on.
 
     // Returns since when a worker isn't listed, as far as is known here.
@@ -114,8 +114,8 @@
     std::string      detail;
 };
 
-using PoolAction = std::variant<AppendJournal, AnswerCaller, SendStart, SendStop, SendPace,
-                                SendHold, NoteRun>;
+using PoolAction =
+    std::variant<AppendJournal, AnswerCaller, SendStart, SendStop, SendPace, SendHold, NoteRun>;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Scheduler
@@ -137,7 +137,7 @@
     // Commands.
     auto restore(Moment now, JobTable jobs, std::optional<HandOver> note = std::nullopt) -> void;
     auto beginHandOver(Moment now) -> void; // Decides nothing more; the journal gets a last record.
-    auto setTerm(TimeMs untilMs) -> void; // Nothing starts after that, on the steady clock.
+    auto setTerm(TimeMs untilMs) -> void;   // Nothing starts after that, on the steady clock.
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
     auto onViewChanged(Moment now) -> void;
@@ -153,8 +153,8 @@
     auto identity() const -> const PoolIdentity &;
     auto jobState(std::string_view id) const -> std::optional<JobState>; // As recorded.
     auto countPending(std::string_view queue) const -> std::int64_t;
-    auto isFenced() const -> bool;                                // A newer owner is at work.
-    auto report() const -> PoolReport;                            // To the coordinator.
+    auto isFenced() const -> bool;     // A newer owner is at work.
+    auto report() const -> PoolReport; // To the coordinator.
     auto countJobs() const -> std::size_t;
     auto countRuns() const -> std::size_t;
     auto isHandedOver() const -> bool; // The last record is in the journal.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -20,7 +20,7 @@
 // A run that takes room on a worker, from its choice until it is known to be over.
 struct RunState {
     std::int64_t run = 0;
-    ResourceSet    need;                // As counted against the worker.
+    ResourceSet  need;                // As counted against the worker.
     bool         isSent = false;      // The order left at least once.
     bool         isConfirmed = false; // The worker has it.
     TimeMs       confirmedAt = 0;
@@ -43,13 +43,13 @@
     bool                        isCordoned = false;
     bool                        isAsked = false; // Answered a hold under our token.
     bool                        isHoldOut = false;
-    ResourceSet                   used;
+    ResourceSet                 used;
     std::map<TaskRef, RunState> runs;
     std::int64_t                bornMs = -1;
-    std::int64_t                seenEnd = 0;     // Highest end read in this life.
-    std::int64_t                recordedEnd = 0; // Highest end that the journal has.
-    TimeMs                      clockMs = 0;     // Last told by the worker, at
-    TimeMs                      clockAt = 0;     // this moment of ours.
+    std::int64_t                seenEnd = 0;      // Highest end read in this life.
+    std::int64_t                recordedEnd = 0;  // Highest end that the journal has.
+    TimeMs                      clockMs = 0;      // Last told by the worker, at
+    TimeMs                      clockAt = 0;      // this moment of ours.
     TimeMs                      leaseUntilMs = 0; // Longest lease sent, on the worker's clock.
     TimeMs                      nextHoldAt = 0;
     TimeMs                      lastHeldAt = 0;
@@ -149,6 +149,8 @@
     auto release(Worker &worker, const TaskRef &ref) -> void;
     auto abandon(Moment now, Worker &worker, const TaskRef &ref, std::string_view why) -> void;
     auto loseRuns(Moment now, Worker &worker, std::string_view why) -> void;
+    auto answeringWorker(Moment now, const std::string &id, const TaskRef &ref, std::int64_t run,
+                         const OrderReply &reply) -> Worker *;
     auto onStarted(Moment now, const SendStart &sent, const OrderReply &reply) -> void;
     auto onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void;
     auto onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void;
@@ -169,8 +171,8 @@
     auto placeStep(Moment now, const ReadyStep &step) -> void;
     auto placeGang(Moment now, const ReadyStep &step) -> void;
     auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
-    auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry, const TaskRef &ref) const
-        -> bool;
+    auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry,
+                   const TaskRef &ref) const -> bool;
     auto explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
     auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
@@ -197,13 +199,13 @@
     std::map<std::string, JobEntry, std::less<>> jobs_;
     std::set<std::string>                        active_; // Jobs that aren't over.
     std::map<std::string, Worker, std::less<>>   workers_;
-    std::map<std::string, ResourceSet>             tenantUsed_;
-    std::map<std::string, ResourceSet>             tenantWanted_;
-    std::map<std::string, ResourceSet>             allowances_;
-    std::map<std::string, TimeMs>                cordoned_; // Since when.
-    ResourceSet                                  wanted_;   // Of ready tasks without a worker.
-    std::set<std::string>                        reserved_; // Workers kept for lasting tasks.
-    std::set<std::string>                        changed_;  // Progress to record.
+    std::map<std::string, ResourceSet>           tenantUsed_;
+    std::map<std::string, ResourceSet>           tenantWanted_;
+    std::map<std::string, ResourceSet>           allowances_;
+    std::map<std::string, TimeMs>                cordoned_;  // Since when.
+    ResourceSet                                  wanted_;    // Of ready tasks without a worker.
+    std::set<std::string>                        reserved_;  // Workers kept for lasting tasks.
+    std::set<std::string>                        changed_;   // Progress to record.
     std::set<std::string>                        submitted_; // Jobs to record.
     std::vector<Effect>                          effects_;
     std::optional<Batch>                         batch_; // Under way.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -8,17 +8,17 @@
 
 namespace {
 
-constexpr double      kClockError = 1.03;       // Workers' clocks may be 2 % slow.
-constexpr TimeMs      kClockSlackMs = 300;      // Delays between a clock and its reading.
-constexpr std::size_t kFullPage = 500;          // A listing of that many ends may have more.
-constexpr TimeMs      kFreshHoldMs = 1'000;     // A worker can't start again within that.
-constexpr TimeMs      kStalledHoldMs = 1'000;   // Pace of holds whose ends can't be recorded.
-constexpr TimeMs      kRefusedAvoidMs = 500;    // After a worker refused a start.
-constexpr double      kPaceDownAt = 0.8;        // Of a serving task's target: slow fillers down.
-constexpr double      kPaceUpAt = 0.5;          // Below that: let them work more.
-constexpr std::int64_t kPaceStep = 20;          // Percent.
+constexpr double       kClockError = 1.03;     // Workers' clocks may be 2 % slow.
+constexpr TimeMs       kClockSlackMs = 300;    // Delays between a clock and its reading.
+constexpr std::size_t  kFullPage = 500;        // A listing of that many ends may have more.
+constexpr TimeMs       kFreshHoldMs = 1'000;   // A worker can't start again within that.
+constexpr TimeMs       kStalledHoldMs = 1'000; // Pace of holds whose ends can't be recorded.
+constexpr TimeMs       kRefusedAvoidMs = 500;  // After a worker refused a start.
+constexpr double       kPaceDownAt = 0.8;      // Of a serving task's target: slow fillers down.
+constexpr double       kPaceUpAt = 0.5;        // Below that: let them work more.
+constexpr std::int64_t kPaceStep = 20;         // Percent.
 constexpr std::int64_t kFullPace = 100;
-constexpr TimeMs      kPacedHoldMs = 500;       // Workers with fillers beside serving tasks.
+constexpr TimeMs       kPacedHoldMs = 500; // Workers with fillers beside serving tasks.
 
 } // namespace
 
@@ -94,8 +94,7 @@
         if (worker.isListed) {
             return byOwner;
         }
-        return std::min(byOwner,
-                        view_.missingSince(worker.peer.id) + settings_.missingMs + lease);
+        return std::min(byOwner, view_.missingSince(worker.peer.id) + settings_.missingMs + lease);
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
     return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
@@ -185,25 +184,41 @@
     actions_.push_back(SendStart{worker.peer, std::move(order)});
 }
 
-auto PoolScheduler::State::onStarted(Moment now, const SendStart &sent, const OrderReply &reply)
-    -> void
+// Takes what every answer to an order tells. Returns the worker if the run is still there.
+auto PoolScheduler::State::answeringWorker(Moment now, const std::string &id, const TaskRef &ref,
+                                           std::int64_t run, const OrderReply &reply) -> Worker *
 {
-    const auto found = workers_.find(sent.worker.id);
     if (reply.outcome == CallOutcome::Fenced) {
         isFenced_ = true;
-        return;
+        return nullptr;
     }
+    const auto found = workers_.find(id);
     if (found == workers_.end()) {
-        return;
+        return nullptr;
     }
     auto &worker = found->second;
     setClock(now, worker, reply.clockMs);
-    const auto held = worker.runs.find(sent.order.task);
-    if (held == worker.runs.end() || held->second.run != sent.order.run) {
+    if (reply.outcome == CallOutcome::Refused && reply.refusal == StartRefusal::OtherLife) {
+        worker.isListed = false;
+        loseRuns(now, worker, "another life answers at its address");
+        return nullptr;
+    }
+    const auto held = worker.runs.find(ref);
+    if (held == worker.runs.end() || held->second.run != run) {
+        return nullptr;
+    }
+    held->second.isOrderOut = false;
+    return &worker;
+}
+
+auto PoolScheduler::State::onStarted(Moment now, const SendStart &sent, const OrderReply &reply)
+    -> void
+{
+    auto *worker = answeringWorker(now, sent.worker.id, sent.order.task, sent.order.run, reply);
+    if (worker == nullptr) {
         return;
     }
-    auto &run = held->second;
-    run.isOrderOut = false;
+    auto &run = worker->runs.at(sent.order.task);
     if (reply.outcome == CallOutcome::Done) {
         run.isConfirmed = true;
         run.confirmedAt = now.steadyMs;
@@ -212,31 +227,26 @@
             task->phase = RunPhase::Running;
             task->changedAt = now.steadyMs;
         }
-        worker.nextHoldAt = std::min(worker.nextHoldAt, now.steadyMs);
-        note("run.started", sent.order.task, run.run, worker.peer.id, "");
-        return;
-    }
-    if (reply.outcome == CallOutcome::Refused && reply.refusal == StartRefusal::OtherLife) {
-        worker.isListed = false;
-        loseRuns(now, worker, "another life answers at its address");
+        worker->nextHoldAt = std::min(worker->nextHoldAt, now.steadyMs);
+        note("run.started", sent.order.task, run.run, worker->peer.id, "");
         return;
     }
     if (reply.outcome == CallOutcome::Refused && run.attempts == 1 && !run.isStopping) {
-        worker.avoidUntil = std::max(worker.avoidUntil, now.steadyMs + kRefusedAvoidMs);
-        abandon(now, worker, sent.order.task,
+        worker->avoidUntil = std::max(worker->avoidUntil, now.steadyMs + kRefusedAvoidMs);
+        abandon(now, *worker, sent.order.task,
                 fmt::format("refused, reason {}", static_cast<int>(reply.refusal)));
         return;
     }
-    note("run.unanswered", sent.order.task, run.run, worker.peer.id,
+    note("run.unanswered", sent.order.task, run.run, worker->peer.id,
          fmt::format("attempt {} outcome {} refusal {} listed {} hold failures {}", run.attempts,
                      static_cast<int>(reply.outcome), static_cast<int>(reply.refusal),
-                     worker.isListed, worker.holdFailures));
+                     worker->isListed, worker->holdFailures));
     // An earlier order of this run may still be on its way. Only a stop voids it.
     if (run.attempts >= settings_.maxStartAttempts || reply.outcome == CallOutcome::Refused) {
-        requestStop(now, worker, sent.order.task);
+        requestStop(now, *worker, sent.order.task);
         return;
     }
-    worker.avoidUntil = std::max(worker.avoidUntil, now.steadyMs + kRefusedAvoidMs);
+    worker->avoidUntil = std::max(worker->avoidUntil, now.steadyMs + kRefusedAvoidMs);
     run.retryAt = now.steadyMs + settings_.orderRetryMs;
 }
 
@@ -264,31 +274,15 @@
 auto PoolScheduler::State::onStopped(Moment now, const SendStop &sent, const OrderReply &reply)
     -> void
 {
-    const auto found = workers_.find(sent.worker.id);
-    if (reply.outcome == CallOutcome::Fenced) {
-        isFenced_ = true;
-        return;
-    }
-    if (found == workers_.end()) {
+    auto *worker = answeringWorker(now, sent.worker.id, sent.order.task, sent.order.run, reply);
+    if (worker == nullptr) {
         return;
     }
-    auto &worker = found->second;
-    setClock(now, worker, reply.clockMs);
-    const auto held = worker.runs.find(sent.order.task);
-    if (held == worker.runs.end() || held->second.run != sent.order.run) {
-        return;
-    }
-    auto &run = held->second;
-    run.isOrderOut = false;
+    auto &run = worker->runs.at(sent.order.task);
     if (reply.outcome == CallOutcome::Done) {
         run.isStopAnswered = true;
         run.stopAnsweredAt = now.steadyMs;
-        worker.nextHoldAt = std::min(worker.nextHoldAt, now.steadyMs);
-        return;
-    }
-    if (reply.refusal == StartRefusal::OtherLife && reply.outcome == CallOutcome::Refused) {
-        worker.isListed = false;
-        loseRuns(now, worker, "another life answers at its address");
+        worker->nextHoldAt = std::min(worker->nextHoldAt, now.steadyMs);
         return;
     }
     run.retryAt = now.steadyMs + settings_.orderRetryMs;
@@ -310,9 +304,8 @@
     // A worker that may have started again must not forget ends that we haven't read.
     hold.order.ackCursor = isFresh ? worker.recordedEnd : 0;
     if (isFresh && !hasUnrecorded && !worker.runs.empty()) {
-        const auto isPaced = std::ranges::any_of(worker.runs, [](const auto &item) {
-            return item.second.need.cpu == 0;
-        });
+        const auto isPaced = std::ranges::any_of(
+            worker.runs, [](const auto &item) { return item.second.need.cpu == 0; });
         hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
     }
     const auto mayExtend = !note_ || isNoteDropped_;
@@ -442,8 +435,8 @@
     for (const auto &[ref, run] : worker.runs) {
         const auto &step = stepOf(jobs_.at(ref.job), ref);
         if (step.latencyTargetMs > 0 && !step.isFiller) {
-            load = std::max(load, static_cast<double>(run.usage)
-                                / static_cast<double>(step.latencyTargetMs));
+            load = std::max(
+                load, static_cast<double>(run.usage) / static_cast<double>(step.latencyTargetMs));
         }
     }
     for (auto &[ref, run] : worker.runs) {
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -41,7 +41,7 @@
 
 // Identifies one append of one owner. A repeat with the same sequence has no further effect.
 struct JournalWriter {
-    std::string  pool;      // Each pool has one writer at a time.
+    std::string  pool; // Each pool has one writer at a time.
     std::int64_t partition = 0;
     std::int64_t epoch = 0;    // Fencing token of the owner.
     std::int64_t sequence = 0; // 1 for the first append of an epoch. 0: only sets the epoch.
@@ -82,7 +82,8 @@
     // Joins or stays. Naming a generation gives up what it no longer lists.
     virtual auto join(const std::string &member, std::int64_t generation, TimeMs ttlMs,
                       JoinSlot slot) -> void = 0;
-    virtual auto leave(const std::string &member, std::function<void(bool isDone)> slot) -> void = 0;
+    virtual auto leave(const std::string &member, std::function<void(bool isDone)> slot)
+        -> void = 0;
     virtual auto owners(OwnersSlot slot) -> void = 0; // Members by partition.
 };
 
@@ -95,7 +96,7 @@
     std::string           pool;
     std::string           address;
     std::string           zone;
-    ResourceSet             capacity;
+    ResourceSet           capacity;
     std::set<std::string> labels; // Kind and rack, for steps that require one.
     std::string           rack;
     bool                  isDraining = false;
@@ -146,7 +147,8 @@
 
     // Reads what came from `from` on; waits up to `waitMs` for something. Starts over with a whole
     // page where the history is gone, and at from = -1.
-    virtual auto read(DirectorySource source, Offset from, TimeMs waitMs, PageSlot slot) -> void = 0;
+    virtual auto read(DirectorySource source, Offset from, TimeMs waitMs, PageSlot slot)
+        -> void = 0;
     virtual auto writeWaveState(const std::string &wave, bool isCompleted,
                                 std::function<void(CallOutcome)> slot) -> void = 0;
 };
@@ -164,8 +166,8 @@
     TaskRef      task;
     std::int64_t run = 0;
     std::string  payload;
-    std::string  checkpoint; // Empty: from the beginning.
-    std::string  ticket;     // Of the advice service. Empty: none is needed.
+    std::string  checkpoint;       // Empty: from the beginning.
+    std::string  ticket;           // Of the advice service. Empty: none is needed.
     TimeMs       leaseUntilMs = 0; // On the worker's clock.
     std::int64_t token = 0;        // Fencing token.
     TimeMs       sendBy = 0;       // The owner's term ends then, on its steady clock.
@@ -232,7 +234,8 @@
 
     virtual ~WorkerService() = default;
 
-    virtual auto start(const WorkerPeer &worker, const StartOrder &order, OrderSlot slot) -> void = 0;
+    virtual auto start(const WorkerPeer &worker, const StartOrder &order, OrderSlot slot)
+        -> void = 0;
     virtual auto stop(const WorkerPeer &worker, const StopOrder &order, OrderSlot slot) -> void = 0;
     virtual auto pace(const WorkerPeer &worker, const PaceOrder &order, OrderSlot slot) -> void = 0;
     virtual auto hold(const WorkerPeer &worker, const HoldOrder &order, HoldSlot slot) -> void = 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -111,7 +111,8 @@
 auto ObjectReader::optionalAddress(const std::string &key, std::string &target) -> void
 {
     const auto *value = optional(key);
-    const auto  isEmpty = value == nullptr || (value->is_string() && value->get<std::string>().empty());
+    const auto  isEmpty =
+        value == nullptr || (value->is_string() && value->get<std::string>().empty());
     if (!isEmpty) {
         readAddress(key, *value, target);
     }
@@ -172,7 +173,8 @@
     return value;
 }
 
-auto ObjectReader::readAddress(const std::string &key, const nlohmann::json &value, std::string &target) -> void
+auto ObjectReader::readAddress(const std::string &key, const nlohmann::json &value,
+                               std::string &target) -> void
 {
     if (!value.is_string() || !parseEndpoint(value.get<std::string>()).ok()) {
         fail(key, "takes an IPv4 number, a colon and a port, as in \"127.0.0.1:8100\"");
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -179,8 +179,7 @@
             if (clockOf(worker) > worker.leaseUntil) {
                 finish(worker, index, RunEnd::Lapsed);
             } else if (run.endsAt > 0 && now_.steadyMs >= run.endsAt) {
-                finish(worker, index,
-                       chance(faults_.failingRuns) ? RunEnd::Failed : RunEnd::Done);
+                finish(worker, index, chance(faults_.failingRuns) ? RunEnd::Failed : RunEnd::Done);
             } else {
                 ++index;
             }
@@ -375,7 +374,8 @@
     auto      &worker = workers_.at(action.worker.id);
     const auto isLost = chance(faults_.lostAnswers);
     const auto isLate = isLost && chance(faults_.lateOrders);
-    const auto delay = isLate ? std::uniform_int_distribution<TimeMs>(2'000, 6'000)(random_) : kCallMs;
+    const auto delay =
+        isLate ? std::uniform_int_distribution<TimeMs>(2'000, 6'000)(random_) : kCallMs;
     later(delay, [this, &worker, action, epoch, isLost] {
         const auto reply = worker.isUp ? applyStart(worker, action.order) : OrderReply{};
         if (!isLost && worker.isUp && epoch == epoch_) {
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -13,12 +13,12 @@
 
 // How unkind the world is.
 struct WorldFaults {
-    int lostAnswers = 0;  // Percent of orders that are carried out and not answered.
-    int lateOrders = 0;   // Percent of unanswered orders that are carried out seconds later.
-    int lostAppends = 0;  // Percent of appends that are done and not answered.
-    int failingRuns = 0;  // Percent of runs that end as failed.
-    int crashes = 0;      // Workers that crash per 1,000 steps.
-    int takeovers = 0;    // Owners that are replaced per 1,000 steps.
+    int lostAnswers = 0; // Percent of orders that are carried out and not answered.
+    int lateOrders = 0;  // Percent of unanswered orders that are carried out seconds later.
+    int lostAppends = 0; // Percent of appends that are done and not answered.
+    int failingRuns = 0; // Percent of runs that end as failed.
+    int crashes = 0;     // Workers that crash per 1,000 steps.
+    int takeovers = 0;   // Owners that are replaced per 1,000 steps.
 };
 
 // A worker that follows the platform's contract: fencing, leases, ends until they are acknowledged.
@@ -48,8 +48,9 @@
     // Commands.
     auto submit(JobSpec spec) -> void;
     auto cancel(const std::string &id) -> void;
-    auto crash(const std::string &worker) -> void; // Its entry goes 4.5 s later; it doesn't come back.
-    auto takeOver() -> void;                        // A new owner, from the journal alone.
+    auto crash(const std::string &worker)
+        -> void;             // Its entry goes 4.5 s later; it doesn't come back.
+    auto takeOver() -> void; // A new owner, from the journal alone.
     auto handOver() -> void; // The owner gives the pool up as planned, and a new one follows.
     auto run(TimeMs ms) -> void;
     auto direct(const PoolDirection &direction) -> void;
@@ -66,13 +67,17 @@
     auto starts(const TaskRef &task) const -> int;
     auto isRunning(const TaskRef &task) const -> bool;
 
-    std::function<std::string(const StartOrder &)> startGuard; // A text refuses, as a broken promise.
+    std::function<std::string(const StartOrder &)>
+        startGuard; // A text refuses, as a broken promise.
 
 private:
     auto step() -> void;
     auto drain() -> void;
     auto later(TimeMs delay, std::function<void()> action) -> void;
-    auto chance(int percent) -> bool { return std::uniform_int_distribution(1, 100)(random_) <= percent; }
+    auto chance(int percent) -> bool
+    {
+        return std::uniform_int_distribution(1, 100)(random_) <= percent;
+    }
     auto clockOf(const FakeWorker &worker) const -> TimeMs { return now_.steadyMs - worker.bornAt; }
     auto finish(FakeWorker &worker, std::size_t index, RunEnd end) -> void;
     auto applyStart(FakeWorker &worker, const StartOrder &order) -> OrderReply;
@@ -87,27 +92,27 @@
     auto perform(const NoteRun &action) -> void;
     auto fail(std::string what) -> void { broken_.push_back(std::move(what)); }
 
-    pcg32                                 random_;
-    WorldFaults                           faults_;
-    Moment                                now_ = {1'000, 1'700'000'000'000};
-    FleetView                             view_;
-    PoolSettings                          settings_;
-    std::map<std::string, FakeWorker>     workers_;
-    std::map<std::string, std::string>    journal_;
-    std::int64_t                          epoch_ = 0;
-    std::int64_t                          sequence_ = 0; // Last append done in this epoch.
-    std::unique_ptr<PoolScheduler>        owner_;
+    pcg32                                        random_;
+    WorldFaults                                  faults_;
+    Moment                                       now_ = {1'000, 1'700'000'000'000};
+    FleetView                                    view_;
+    PoolSettings                                 settings_;
+    std::map<std::string, FakeWorker>            workers_;
+    std::map<std::string, std::string>           journal_;
+    std::int64_t                                 epoch_ = 0;
+    std::int64_t                                 sequence_ = 0; // Last append done in this epoch.
+    std::unique_ptr<PoolScheduler>               owner_;
     std::multimap<TimeMs, std::function<void()>> events_;
-    std::map<std::int64_t, std::string>   handles_;
-    std::int64_t                          lastHandle_ = 0;
-    std::set<std::string>                 accepted_;
-    std::map<std::string, JobSpec>        specs_;
-    std::map<TaskRef, int>                done_;   // Ends that an owner can still read, or has.
-    std::map<TaskRef, int>                failed_; // The same.
-    std::set<TaskRef>                     everDone_;
-    std::map<TaskRef, int>                starts_;
-    std::vector<std::string>              broken_;
-    bool                                  isStoreDown_ = false;
+    std::map<std::int64_t, std::string>          handles_;
+    std::int64_t                                 lastHandle_ = 0;
+    std::set<std::string>                        accepted_;
+    std::map<std::string, JobSpec>               specs_;
+    std::map<TaskRef, int>   done_;   // Ends that an owner can still read, or has.
+    std::map<TaskRef, int>   failed_; // The same.
+    std::set<TaskRef>        everDone_;
+    std::map<TaskRef, int>   starts_;
+    std::vector<std::string> broken_;
+    bool                     isStoreDown_ = false;
 };
 
 // A step of `count` tasks that take `estimateMs` on one core each.
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -52,8 +52,12 @@
         planner_.setCatalog(makeCatalog(0));
         report_ = makeReport("p", 0, 0, 0);
         for (auto number = 0; number < machines; ++number) {
-            machines_.push_back({fmt::format("m{}", number), "p", "a", fmt::format("w{}", number),
-                                 {}, MachineState::Up});
+            machines_.push_back({fmt::format("m{}", number),
+                                 "p",
+                                 "a",
+                                 fmt::format("w{}", number),
+                                 {},
+                                 MachineState::Up});
             auto load = WorkerLoad{};
             load.id = fmt::format("w{}", number);
             load.runs = 1;
@@ -163,7 +167,8 @@
                 ledger = QuotaLedger(); // A new coordinator.
                 ledger.setPools({"p", "q"});
             }
-            const auto grants = ledger.grant(makeReport(pool, allowance[pool], used[pool], wanted), catalog);
+            const auto grants =
+                ledger.grant(makeReport(pool, allowance[pool], used[pool], wanted), catalog);
             if (random(5) != 0) {
                 allowance[pool] = grants.front().allowance.cpu;
             }
@@ -199,7 +204,8 @@
     fleet.run(5'000);
     cr_assert_eq(fleet.maintained.size(), 2U); // Called, and nobody knows whether they are down.
     for (const auto &call : fleet.maintained) {
-        fleet.planner().onMaintained(fleet.now(), call, {CallOutcome::Unknown, MachineRefusal::None});
+        fleet.planner().onMaintained(fleet.now(), call,
+                                     {CallOutcome::Unknown, MachineRefusal::None});
     }
     fleet.run(2'000);
     cr_assert_eq(fleet.maintained.size(), 2U);
@@ -219,7 +225,8 @@
         cr_assert(!isCompleted || answered == 3);
         if (fleet.maintained.size() > answered) {
             const auto call = fleet.maintained[answered++];
-            fleet.planner().onMaintained(fleet.now(), call, {CallOutcome::Done, MachineRefusal::None});
+            fleet.planner().onMaintained(fleet.now(), call,
+                                         {CallOutcome::Done, MachineRefusal::None});
         }
     }
     cr_assert_eq(answered, 3U);
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 // Answers everything at once, and keeps what it was asked.
-class FakeStore final : public JournalStore, public OwnershipGroup, public Directory, public WorkerService
+class FakeStore final : public JournalStore,
+                        public OwnershipGroup,
+                        public Directory,
+                        public WorkerService
 {
 public:
     explicit FakeStore(EventLoop &loop) : loop_(loop) { }
@@ -20,7 +23,7 @@
         loop_.post([slot] { slot(CallOutcome::Done); });
     }
     auto append(const JournalWriter &writer, const std::vector<KeyedRecord> & /*records*/,
-                OutcomeSlot slot) -> void override
+                OutcomeSlot          slot) -> void override
     {
         appends.push_back(writer);
         loop_.post([slot] { slot(CallOutcome::Done); });
@@ -47,7 +50,8 @@
     {
         loop_.post([slot] { slot(std::map<std::int64_t, std::string>()); });
     }
-    auto read(DirectorySource source, Offset from, TimeMs /*waitMs*/, PageSlot slot) -> void override
+    auto read(DirectorySource source, Offset from, TimeMs /*waitMs*/, PageSlot slot)
+        -> void override
     {
         auto page = DirectoryPage{};
         page.next = 1;
@@ -95,7 +99,8 @@
 
 struct NodeFixture {
     NodeFixture()
-        : store(loop), directory(loop, store, settings), ownership(loop, store, settings, "n@127.0.0.1:1#1"),
+        : store(loop), directory(loop, store, settings),
+          ownership(loop, store, settings, "n@127.0.0.1:1#1"),
           pools(loop, {store, store}, settings, directory, ownership)
     {
         configureLog({"test", -1});
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -32,7 +32,8 @@
         cr_assert_not(readJob(body).ok(), "%s", body);
     }
     cr_assert_not(readJob(std::string(200'000, '[')).ok());
-    cr_assert_not(readJob(R"({"spec":")" + std::string(5'000, 'x') + R"(","steps":[{"count":1}]})").ok());
+    cr_assert_not(
+        readJob(R"({"spec":")" + std::string(5'000, 'x') + R"(","steps":[{"count":1}]})").ok());
 }
 
 Test(platform, reads_a_caller_and_its_key)
@@ -40,7 +41,8 @@
     auto request = HttpRequest{};
     request.method = "POST";
     request.path = "/q/5c0e7a21d94b36f8";
-    request.headers = {{"host", "h.example:80"}, {"authorization", "Bearer abc"}, {"x-deadline-ms", "3000"}};
+    request.headers = {
+        {"host", "h.example:80"}, {"authorization", "Bearer abc"}, {"x-deadline-ms", "3000"}};
     const auto call = readCallerCall(request);
     cr_assert(call.verb == CallerVerb::Submit);
     cr_assert_eq(call.host, "h.example");
@@ -53,8 +55,9 @@
 
 Test(platform, a_worker_entry_of_another_writer_names_no_worker)
 {
-    for (const auto *text : {"", "x", "{}", R"({"service":5})",
-                             R"({"service":"p","address":"a","zone":"z","state":"odd","capacity":{},"labels":[]})"}) {
+    for (const auto *text :
+         {"", "x", "{}", R"({"service":5})",
+          R"({"service":"p","address":"a","zone":"z","state":"odd","capacity":{},"labels":[]})"}) {
         cr_assert_not(readWorkerReport("i-1", text).ok(), "%s", text);
     }
     const auto good = readWorkerReport(
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -289,7 +289,7 @@
     auto world = PoolWorld(seed, faults, 6);
     auto jobs = std::vector<std::string>();
     for (auto number = 0; number < 12; ++number) {
-        auto steps = std::vector<StepSpec>();
+        auto       steps = std::vector<StepSpec>();
         const auto count = std::uniform_int_distribution(1, 3)(random);
         for (auto step = 0; step < count; ++step) {
             steps.push_back(makeStep(std::uniform_int_distribution(1, 5)(random),
