A machine list that was made before a call doesn't bring the machine back

Found by reading, not by a trace: a list that was on its way during a call could show the worker that had just come up before it and count the machine as back.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -196,6 +196,7 @@
         bool                  isListed = false;
         bool                  isCalling = false;   // A call is under way.
         TimeMs                awayUntil = 0;       // It was called, and isn't known to be back.
+        TimeMs                answeredAt = -1;     // The last call was answered then, or given up.
         bool                  wasSeenAway = false; // Listed as away since it was called.
         std::string           calledWorker;        // Its worker at the time of the call.
         TimeMs                retryAt = 0;
@@ -246,6 +247,7 @@
     PlannerSettings                          settings_;
     TimeMs                                   heldSince_ = 0;
     TimeMs                                   listAt_ = 0;
+    TimeMs                                   listSentAt_ = 0;
     bool                                     isListing_ = false;
     bool                                     hasList_ = false;
     std::map<std::string, Wave>              waves_;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -84,14 +84,17 @@
     }
     for (const auto &entry : machines) {
         auto &machine = machines_[entry.name];
-        machine.entry = entry;
         machine.isListed = true;
+        if (machine.isCalling || machine.answeredAt >= listSentAt_) {
+            continue; // The list was made before the call that is known to have changed the machine.
+        }
+        machine.entry = entry;
         if (entry.state != MachineState::Up) {
             machine.wasSeenAway = true;
         }
         const auto isNewLife = !entry.worker.empty() && entry.worker != machine.calledWorker;
         const auto isBack = entry.state == MachineState::Up && (machine.wasSeenAway || isNewLife);
-        if (isBack && !machine.isCalling) {
+        if (isBack) {
             machine.awayUntil = 0;
         }
         if (!isAway(now, machine)) {
@@ -110,6 +113,7 @@
 {
     auto &machine = machines_[call.machine];
     machine.isCalling = false;
+    machine.answeredAt = now;
     if (reply.outcome == CallOutcome::Done || reply.outcome == CallOutcome::Unknown) {
         machine.awayUntil = now + settings_.settleMs;
         machine.wantedPool.clear();
@@ -131,6 +135,7 @@
 {
     auto &machine = machines_[call.machine];
     machine.isCalling = false;
+    machine.answeredAt = now;
     const auto found = waves_.find(call.wave);
     if (found != waves_.end()) {
         found->second.calling.erase(call.machine);
@@ -178,6 +183,7 @@
                           });
     if (!isListing_ && isNeeded && now >= listAt_) {
         isListing_ = true;
+        listSentAt_ = now;
         actions_.push_back(ListMachines{});
     }
     if (!hasList_ || now - heldSince_ < settings_.holderGapMs) {
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -211,6 +211,37 @@
     cr_assert_eq(fleet.maintained.size(), 2U);
 }
 
+// A list that was on its way while a machine was called shows it as it was before.
+Test(planner, an_old_list_doesnt_bring_a_called_machine_back)
+{
+    auto planner = MachinePlanner(stayingPut());
+    auto catalog = makeCatalog(0);
+    planner.begin(kStartMs);
+    planner.setCatalog(catalog);
+    planner.setWaves(kStartMs, makeWave(2, 1));
+    auto machines = std::vector<MachineEntry>{{"m0", "standby", "a", "", {}, MachineState::Up},
+                                              {"m1", "standby", "a", "", {}, MachineState::Up}};
+    auto calls = std::vector<MaintainMachine>();
+    const auto collect = [&] {
+        for (const auto &action : planner.takeActions()) {
+            if (const auto *call = std::get_if<MaintainMachine>(&action)) {
+                calls.push_back(*call);
+            }
+        }
+    };
+    planner.tick(kStartMs);
+    planner.onListed(kStartMs, machines);
+    planner.tick(kStartMs + 4'000); // Calls m0, and asks for the next list.
+    collect();
+    cr_assert_eq(calls.size(), 1U);
+    planner.onMaintained(kStartMs + 4'010, calls[0], {CallOutcome::Done, MachineRefusal::None});
+    machines[0].worker = "i-1"; // It had just come up when the list was made.
+    planner.onListed(kStartMs + 4'020, machines);
+    planner.tick(kStartMs + 4'100);
+    collect();
+    cr_assert_eq(calls.size(), 1U);
+}
+
 Test(planner, a_wave_is_completed_only_after_each_machine_was_maintained)
 {
     auto fleet = Fleet(3, stayingPut());
