--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace peridotwalk {
 
@@ -92,6 +93,16 @@
     return absl::OkStatus();
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Progress
+//-----------------------------------------------------------------------------
+
+auto TaskRef::operator<(const TaskRef &other) const -> bool
+{
+    return std::tie(job, occurrence, step, index)
+        < std::tie(other.job, other.occurrence, other.step, other.index);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Queries
 //-----------------------------------------------------------------------------
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -10,7 +10,6 @@
 
 #include "base/base.h"
 
-#include <compare>
 #include <map>
 
 namespace peridotwalk {
@@ -82,7 +81,8 @@
     std::int64_t step = 0;
     std::int64_t index = 0;
 
-    auto operator<=>(const TaskRef &) const = default;
+    auto operator==(const TaskRef &) const -> bool = default;
+    auto operator<(const TaskRef &other) const -> bool;
 };
 
 enum class RunPhase {
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -110,7 +110,7 @@
     return std::exchange(bucket.dropped, 0);
 }
 
-auto appendLine(Output &out, std::string line) -> void
+auto appendLine(Output &out, std::string_view line) -> void
 {
     if (out.buffer.size() + line.size() > out.settings.maxBufferedBytes) {
         ++out.lostLines;
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -23,8 +23,8 @@
 
 JobCallerTask::JobCallerTask(EventLoop &loop, const NodeSettings &settings,
                              DirectoryTask &directory, OwnershipTask &ownership, RouterTask &router)
-    : loop_(loop), settings_(settings), directory_(directory), ownership_(ownership),
-      router_(router), server_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes}),
+    : settings_(settings), directory_(directory), ownership_(ownership), router_(router),
+      server_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes}),
       readyServer_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes})
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -18,7 +18,7 @@
 CoordinatorTask::CoordinatorTask(EventLoop &loop, MachineService &machines,
                                  Directory &directoryService, const NodeSettings &settings,
                                  DirectoryTask &directory, OwnershipTask &ownership)
-    : loop_(loop), machines_(machines), directoryService_(directoryService), settings_(settings),
+    : machines_(machines), directoryService_(directoryService), settings_(settings),
       directory_(directory), ownership_(ownership),
       timer_(std::make_unique<Timer>(loop, kTickMs, [this] { tick(); }))
 {
@@ -142,7 +142,7 @@
 
 ReporterTask::ReporterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
                            PoolsTask &pools, CoordinatorTask &coordinator, OwnershipTask &ownership)
-    : loop_(loop), peers_(peers), settings_(settings), pools_(pools), coordinator_(coordinator),
+    : peers_(peers), settings_(settings), pools_(pools), coordinator_(coordinator),
       ownership_(ownership),
       timer_(std::make_unique<Timer>(loop, settings.reportMs, [this] { report(); }))
 {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -317,7 +317,6 @@
     auto perform(const MaintainMachine &action) -> void;
     auto perform(const WriteWaveState &action) -> void;
 
-    EventLoop             &loop_;
     MachineService        &machines_;
     Directory             &directoryService_;
     const NodeSettings    &settings_;
@@ -341,7 +340,6 @@
     auto onDirection(const std::string &name, std::int64_t token, const PoolDirection &direction)
         -> void;
 
-    EventLoop                    &loop_;
     ConnectionPool               &peers_;
     const NodeSettings           &settings_;
     PoolsTask                    &pools_;
@@ -405,7 +403,6 @@
     auto deadlineOf(const CallerCall &call) const -> TimeMs;
     auto isReady() const -> bool;
 
-    EventLoop          &loop_;
     const NodeSettings &settings_;
     DirectoryTask      &directory_;
     OwnershipTask      &ownership_;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -76,7 +76,7 @@
     return view_.catalog.queue(entry.job.spec.queue);
 }
 
-auto PoolScheduler::State::restore(Moment now, JobTable jobs) -> void
+auto PoolScheduler::State::restore(Moment now, JobTable &&jobs) -> void
 {
     ownedSince_ = now.steadyMs;
     for (auto &[id, job] : jobs) {
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -132,7 +132,7 @@
     auto makeHandOver(Moment now) const -> HandOver;
 
     // Jobs (jobs.cpp)
-    auto restore(Moment now, JobTable jobs) -> void;
+    auto restore(Moment now, JobTable &&jobs) -> void;
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
