--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr unsigned          kBitsPerByte = 8;
 constexpr absl::string_view kStepUrl = "peridotwalk/step";
 constexpr absl::string_view kPeerUrl = "peridotwalk/peer";
 
@@ -135,4 +136,27 @@
     return value;
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Bytes
+//-----------------------------------------------------------------------------
+
+auto writeBigEndian(std::uint64_t value, std::size_t bytes) -> std::string
+{
+    auto text = std::string(bytes, '\0');
+    for (auto index = bytes; index > 0; --index) {
+        text[index - 1] = static_cast<char>(value & 0xFFU);
+        value >>= kBitsPerByte;
+    }
+    return text;
+}
+
+auto readBigEndian(std::string_view bytes) -> std::uint64_t
+{
+    std::uint64_t value = 0;
+    for (const auto byte : bytes) {
+        value = (value << kBitsPerByte) | static_cast<unsigned char>(byte);
+    }
+    return value;
+}
+
 } // namespace peridotwalk
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -6,6 +6,7 @@
 // [SECTION] Errors
 // [SECTION] Hashing
 // [SECTION] Text
+// [SECTION] Bytes
 
 #pragma once
 
@@ -95,4 +96,12 @@
 // Parses a whole decimal number. Returns nothing on any other character or on overflow.
 auto parseInteger(std::string_view text) -> std::optional<std::int64_t>;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Bytes
+//-----------------------------------------------------------------------------
+
+// Lengths and offsets in frames, most significant byte first.
+auto writeBigEndian(std::uint64_t value, std::size_t bytes) -> std::string;
+auto readBigEndian(std::string_view bytes) -> std::uint64_t;
+
 } // namespace peridotwalk
--- /dev/null
+++ b/src/http/json_call.h
@@ -0,0 +1,45 @@
+// Calls with JSON bodies, and what went wrong with them.
+
+#pragma once
+
+#include "http/http.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace peridotwalk {
+
+using Json = nlohmann::json;
+
+// Returns the error of a call without a whole answer, or with a status that wasn't expected.
+inline auto callFailure(std::string_view step, const std::string &peer, const HttpResult &result)
+    -> absl::Status
+{
+    const auto reason = result.isWhole ? fmt::format("status {}", result.status) : result.error;
+    return makeError(absl::StatusCode::kUnavailable, step, peer, reason);
+}
+
+// Parses a body with `read`, which may throw a Json::exception.
+template <typename Value, typename Read>
+auto parseBody(std::string_view step, const std::string &peer, std::string_view body, Read read)
+    -> absl::StatusOr<Value>
+{
+    try {
+        return read(Json::parse(body));
+    } catch (const Json::exception &error) {
+        return makeError(absl::StatusCode::kInvalidArgument, step, peer, error.what());
+    }
+}
+
+inline auto dumpJson(const Json &json) -> std::string
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+inline auto postJson(std::string path, const Json &body, TimeMs timeoutMs) -> HttpCall
+{
+    return {
+        "POST", std::move(path), {{"Content-Type", "application/json"}}, dumpJson(body), timeoutMs};
+}
+
+} // namespace peridotwalk
--- a/src/logservice/logservice.cpp
+++ b/src/logservice/logservice.cpp
@@ -1,37 +1,23 @@
 #include "logservice/logservice.h"
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include "http/json_call.h"
 
 namespace peridotwalk {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr auto kMaxRecordsPerRead = 500;
 constexpr auto kHttpOk = 200;
 
-auto failure(std::string_view step, const std::string &address, const HttpResult &result)
-    -> absl::Status
-{
-    const auto reason = result.isWhole ? fmt::format("status {}", result.status) : result.error;
-    return makeError(absl::StatusCode::kUnavailable, step, address, reason);
-}
-
 // Parses an answer with `read`, which may throw a Json::exception.
 template <typename Value, typename Read>
 auto parseAnswer(std::string_view step, const std::string &address, const HttpResult &result,
                  Read read) -> absl::StatusOr<Value>
 {
     if (!result.isWhole || result.status != kHttpOk) {
-        return failure(step, address, result);
-    }
-    try {
-        return read(Json::parse(result.body));
-    } catch (const Json::exception &error) {
-        return makeError(absl::StatusCode::kInvalidArgument, step, address, error.what());
+        return callFailure(step, address, result);
     }
+    return parseBody<Value>(step, address, result.body, read);
 }
 
 auto readPage(const Json &json) -> LogPage
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <utility>
 
 namespace peridotwalk {
@@ -10,30 +9,10 @@
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
-constexpr std::size_t kBitsPerByte = 8;
 constexpr std::size_t kEnvelopeFields = 3;
 constexpr std::size_t kMaxNesting = 16;
 constexpr std::size_t kMaxElements = 65'536; // Bounds what a short frame can make us allocate.
 
-auto encodeLength(std::size_t length) -> std::array<char, kLengthBytes>
-{
-    auto bytes = std::array<char, kLengthBytes>{};
-    for (auto index = kLengthBytes; index > 0; --index) {
-        bytes[index - 1] = static_cast<char>(length & 0xFFU);
-        length >>= kBitsPerByte;
-    }
-    return bytes;
-}
-
-auto decodeLength(std::string_view bytes) -> std::size_t
-{
-    std::size_t length = 0;
-    for (const auto byte : bytes.substr(0, kLengthBytes)) {
-        length = (length << kBitsPerByte) | static_cast<unsigned char>(byte);
-    }
-    return length;
-}
-
 auto badFrame(std::string_view reason) -> absl::Status
 {
     return makeError(absl::StatusCode::kInvalidArgument, "peer.frame", "", reason);
@@ -95,8 +74,7 @@
     packer.pack(kPeerVersion);
     packer.pack(message.index());
     std::visit([&](const auto &body) { packer.pack(body); }, message);
-    const auto length = encodeLength(buffer.size());
-    auto       frame = std::string(length.begin(), length.end());
+    auto frame = writeBigEndian(buffer.size(), kLengthBytes);
     frame.append(buffer.data(), buffer.size());
     return frame;
 }
@@ -116,7 +94,7 @@
     if (rest.size() < kLengthBytes) {
         return std::nullopt;
     }
-    const auto length = decodeLength(rest);
+    const auto length = readBigEndian(rest.substr(0, kLengthBytes));
     if (length > kMaxFrameBytes) {
         return badFrame(fmt::format("{} bytes are above {}", length, kMaxFrameBytes));
     }
