--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -186,7 +186,6 @@
         WaveOrder             order;
         TimeMs                seenAt = 0;
         std::set<std::string> done; // Maintained, or gone.
-        std::set<std::string> calling;
         bool                  isRunningWritten = false;
         bool                  isCompletedWritten = false;
         bool                  isWriting = false;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -137,9 +137,6 @@
     machine.isCalling = false;
     machine.answeredAt = now;
     const auto found = waves_.find(call.wave);
-    if (found != waves_.end()) {
-        found->second.calling.erase(call.machine);
-    }
     if (reply.outcome == CallOutcome::Refused) {
         machine.awayUntil = 0;
         called_.erase(machine.calledWorker);
@@ -444,7 +441,6 @@
         called_[machine.entry.worker] = now + settings_.calledMs;
     }
     if (!machine.wantedWave.empty()) {
-        waves_[machine.wantedWave].calling.insert(name);
         actions_.push_back(MaintainMachine{name, machine.wantedWave});
     } else {
         actions_.push_back(MoveMachine{name, machine.wantedPool});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,7 +29,6 @@
     std::string       callersAddress; // Where callers connect. Required.
     std::string       readyAddress;   // Where the load balancer asks. Required.
     std::string       peersAddress;   // Where other nodes connect. Required.
-    std::string       metricsAddress; // Empty: no metrics.
     PlatformAddresses platform;
     OwnershipSettings ownership;
     PoolSettings      pool;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -16,7 +16,6 @@
     reader.address("callers", settings.callersAddress);
     reader.address("ready", settings.readyAddress);
     reader.address("peers", settings.peersAddress);
-    reader.optionalAddress("metrics", settings.metricsAddress);
 }
 
 auto readStore(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
@@ -51,7 +50,6 @@
     reader.integer("lease_ms", pool.leaseMs, 100, kMaxMs);
     reader.integer("max_lease_ms", pool.maxLeaseMs, 100, kMaxMs);
     reader.integer("hold_wait_ms", pool.holdWaitMs, 0, 2'000);
-    reader.integer("stop_ms", pool.stopMs, 0, kMaxMs);
     pool.leaseMs = std::min(pool.leaseMs, pool.maxLeaseMs);
 }
 
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -44,7 +44,6 @@
     TimeMs missingMs = 2'000;        // All nodes see within that that a worker's entry went.
     TimeMs flushGapMs = 10;          // Least time between appends. Batches changes.
     TimeMs journalStallMs = 600;     // New jobs are refused while an append is older than that.
-    TimeMs stopMs = 200;             // A worker ends a stopped run within that.
     TimeMs avoidMs = 3'000;          // A worker that failed several runs in a row rests that long.
     int    maxFailuresInRow = 3;     // Of one worker before it rests.
     int    maxStartAttempts = 4;     // Unanswered starts before the run is stopped.
--- a/tests/unit/test_settings.cpp
+++ b/tests/unit/test_settings.cpp
@@ -1,6 +1,7 @@
 // Settings: every error is named by its path, all of them at once.
 
 #include "entry/entry.h"
+#include "node/node.h"
 
 #include <criterion/criterion.h>
 
@@ -66,3 +67,24 @@
     cr_assert(hasError(parseEntrySettings("not json"), ""));
     cr_assert(hasError(parseEntrySettings("[]"), ""));
 }
+
+Test(settings, a_nodes_settings_are_checked_whole)
+{
+    const auto good = parseNodeSettings(R"({
+        "name": "n", "zone": "a",
+        "listen": {"callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+        "store": {"address": "127.0.0.1:4", "partitions": 8},
+        "machines": {"address": ""}, "workers": {"max_lease_ms": 4000}})");
+    cr_assert(good.errors.empty());
+    cr_assert_eq(good.settings.ownership.partitions, 8);
+    cr_assert_eq(good.settings.pool.leaseMs, 4'000); // Never above what workers grant.
+    cr_assert(good.settings.platform.machines.empty());
+    const auto bad = parseNodeSettings(R"({"name": "n", "listen": {"callers": "nowhere"},
+        "store": {"address": "127.0.0.1:4", "renew_ms": 2400}, "odd": 1})");
+    for (const auto *path :
+         {"/zone", "/listen/callers", "/listen/ready", "/store/renew_ms", "/odd"}) {
+        cr_assert(std::ranges::find(bad.errors, path, &SettingsError::path) != bad.errors.end(),
+                  "%s", path);
+    }
+    cr_assert_not(parseNodeSettings("{").errors.empty());
+}
