Read a listing with one reader for all its pages

The shared page reader copied its function for each page, so the offset to read on from came from the last page and changes made meanwhile could be missed. Test: platform/newest_records_go_on_from_the_end_of_the_first_page, which failed before.

--- a/src/http/json_call.h
+++ b/src/http/json_call.h
@@ -21,8 +21,8 @@
 
 // Parses a body with `read`, which may throw a Json::exception.
 template <typename Value, typename Read>
-auto parseBody(std::string_view step, const std::string &peer, std::string_view body, Read read)
-    -> absl::StatusOr<Value>
+auto parseBody(std::string_view step, const std::string &peer, std::string_view body,
+               const Read &read) -> absl::StatusOr<Value>
 {
     try {
         return read(Json::parse(body));
--- a/src/logservice/logservice.cpp
+++ b/src/logservice/logservice.cpp
@@ -12,7 +12,7 @@
 // Parses an answer with `read`, which may throw a Json::exception.
 template <typename Value, typename Read>
 auto parseAnswer(std::string_view step, const std::string &address, const HttpResult &result,
-                 Read read) -> absl::StatusOr<Value>
+                 const Read &read) -> absl::StatusOr<Value>
 {
     if (!result.isWhole || result.status != kHttpOk) {
         return callFailure(step, address, result);
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -104,3 +104,78 @@
     cr_assert_eq(chunk->records.size(), 2U);
     cr_assert_not(unpackChunk(body.substr(0, body.size() - 1)).has_value());
 }
+
+namespace {
+
+// Serves the pages of two listings on loopback.
+struct FakePages {
+    FakePages() : server(loop, {}), pool(loop, {.isProbed = false})
+    {
+        server.requestArrived.connect([this](const HttpRequest &request) { reply(request); });
+        cr_assert(server.listen("127.0.0.1:0").ok());
+        addresses.store = fmt::format("127.0.0.1:{}", server.port());
+        addresses.machines = addresses.store;
+    }
+
+    auto reply(const HttpRequest &request) -> void
+    {
+        const auto machine = [](const std::string &name) {
+            return Json{{"machine", name}, {"pool", "p"},           {"state", "up"},
+                        {"zone", "z"},     {"labels", {"a", "r1"}}, {"id", nullptr}};
+        };
+        auto body = Json();
+        if (request.path == "/peridotwalk/machines") {
+            const auto isFirst = !request.query.contains("pagetoken");
+            body = {{"machines", {machine(isFirst ? "m0" : "m1")}}};
+            body["nextToken"] = isFirst ? Json("more") : Json(nullptr);
+        } else if (!request.query.contains("after")) {
+            body = {{"items", {{{"key", "wave/1"}, {"value", "e30="}, {"offset", 1}}}},
+                    {"hasMore", true},
+                    {"end", 7}};
+        } else {
+            body = {{"items", {{{"key", "wave/2"}, {"value", "e30="}, {"offset", 8}}}},
+                    {"hasMore", false},
+                    {"end", 9}};
+        }
+        server.reply(request.id, {200, "application/json", dumpJson(body), {}});
+    }
+
+    EventLoop         loop;
+    HttpServer        server;
+    ConnectionPool    pool;
+    PlatformAddresses addresses;
+};
+
+} // namespace
+
+Test(platform, lists_machines_page_by_page)
+{
+    auto       pages = FakePages();
+    const auto machines = makeMachineService(pages.pool, pages.addresses);
+    auto       listed = std::vector<MachineEntry>();
+    machines->list([&](absl::StatusOr<std::vector<MachineEntry>> got) {
+        cr_assert(got.ok());
+        listed = *got;
+        pages.loop.stop();
+    });
+    pages.loop.run();
+    cr_assert_eq(listed.size(), 2U);
+    cr_assert_eq(listed[1].name, "m1");
+}
+
+// Changes that come while the pages are read must not be missed: reading goes on from the first page's end.
+Test(platform, newest_records_go_on_from_the_end_of_the_first_page)
+{
+    auto pages = FakePages();
+    auto newest = NewestRecords();
+    readNewestRecords(pages.pool, pages.addresses, "keyed.op", 0,
+                      [&](absl::StatusOr<NewestRecords> got) {
+                          cr_assert(got.ok());
+                          newest = *got;
+                          pages.loop.stop();
+                      });
+    pages.loop.run();
+    cr_assert_eq(newest.records.size(), 2U);
+    cr_assert_eq(newest.records[1].key, "wave/2");
+    cr_assert_eq(newest.next, 7);
+}
