--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -302,7 +302,7 @@
     const auto isFresh = worker.isAsked && worker.holdFailures == 0
         && now.steadyMs - worker.lastHeldAt < kFreshHoldMs + settings_.holdWaitMs;
     // A worker that may have started again must not forget ends that we haven't read.
-    hold.order.ackCursor = isFresh ? worker.recordedEnd : 0;
+    hold.order.acknowledgedEnd = isFresh ? worker.recordedEnd : 0;
     if (isFresh && !hasUnrecorded && !worker.runs.empty()) {
         const auto isPaced = std::ranges::any_of(
             worker.runs, [](const auto &item) { return item.second.need.cpu == 0; });
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -189,8 +189,8 @@
 struct HoldOrder {
     std::optional<TimeMs> leaseUntilMs; // Extends the lease of everything on the worker.
     std::int64_t          token = 0;
-    std::int64_t          ackCursor = 0; // Ends up to it are recorded.
-    TimeMs                waitMs = 0;    // The answer waits for an end.
+    std::int64_t          acknowledgedEnd = 0; // Ends up to this number are recorded.
+    TimeMs                waitMs = 0;          // The answer waits for an end.
 };
 
 enum class StartRefusal { None, Fenced, Old, Late, Room, Ticket, Unhealthy, Invalid, OtherLife };
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -319,7 +319,7 @@
     if (order.leaseUntilMs) {
         worker.leaseUntil = std::max(worker.leaseUntil, *order.leaseUntilMs);
     }
-    while (!worker.ended.empty() && worker.ended.front().number <= order.ackCursor) {
+    while (!worker.ended.empty() && worker.ended.front().number <= order.acknowledgedEnd) {
         worker.ended.pop_front();
     }
     for (const auto &run : worker.running) {
