Few rounds of placement, and none that counts runs anew, while many jobs wait

Cause: on the grown site (350 workers, entries of 0.12 cores) the owner of the bursting pool used its whole processor share: each of some hundred answers a second made it look at every worker and run, and a round of placement counted the runs of each worker for each of 400 waiting jobs. Its calls to the store then timed out, it no longer read workers' entries, and machines that had moved to the pool were not seen for 30 s. Ruled out: the store's limits (no 429), the link (0.3 of 10 Mbit/s), missing machines (standby had 170). Conclusion: rounds are spaced by the number of jobs, needs that found no room aren't tried again in a round, counters replace counting, and an answer touches only its own worker.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -177,7 +177,7 @@
     auto setTerm(TimeMs untilMs) -> void;
     auto onViewChanged() -> void;
     auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
-    auto tick() -> void { run(); }
+    auto tick() -> void;
     auto direct(const PoolDirection &direction) -> void;
     auto beginHandOver() -> void;
 
@@ -191,7 +191,8 @@
     auto fence() -> void;
     auto readJournal() -> void;
     auto onJournal(const std::vector<KeyedRecord> &records) -> void;
-    auto run() -> void; // Carries out what the scheduler decided.
+    auto run() -> void;        // After an event.
+    auto carryOut() -> void;   // What the scheduler decided.
     auto perform(AppendJournal &action) -> void;
     auto perform(AnswerCaller &action) -> void;
     auto perform(SendStart &action) -> void;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -176,11 +176,27 @@
         return;
     }
     isRunning_ = true;
+    scheduler_->advance(readMoment());
+    carryOut();
+    isRunning_ = false;
+}
+
+auto PoolTask::tick() -> void
+{
+    if (!scheduler_) {
+        return;
+    }
+    isRunning_ = true;
     scheduler_->tick(readMoment());
+    carryOut();
+    isRunning_ = false;
+}
+
+auto PoolTask::carryOut() -> void
+{
     for (auto &action : scheduler_->takeActions()) {
         std::visit([this](auto &one) { perform(one); }, action);
     }
-    isRunning_ = false;
 }
 
 auto PoolTask::perform(AppendJournal &action) -> void
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -103,9 +103,7 @@
                     run.need = roomNeed(stepOf(entry, ref));
                     run.isSent = true;
                     run.isRestored = true;
-                    worker.used += run.need;
-                    tenantUsed_[entry.job.spec.tenant] += stepOf(entry, ref).need;
-                    worker.runs[ref] = run;
+                    occupy(worker, ref, run);
                 }
             }
         }
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -99,6 +99,7 @@
             if (worker != workers_.end() && worker->second.bornMs == ack->bornMs) {
                 worker->second.recordedEnd = std::max(worker->second.recordedEnd, ack->end);
                 worker->second.nextHoldAt = now.steadyMs;
+                touched_.insert(ack->worker);
             }
         }
     }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -17,6 +17,9 @@
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
+// A round of placement looks at every job, a few microseconds each; 0.25 of a core should spend less
+// than a tenth of its time on it.
+constexpr std::int64_t kJobsPerGapMs = 10;
 
 // Returns the longest chain of work by the steps' estimates: of the whole job, or of what is left.
 auto longestChain(const JobSpec &spec, const Occurrence *progress) -> TimeMs
@@ -53,8 +56,7 @@
 // Returns how much better `worker` is than others for a task; higher wins. Timed work is packed, so
 // that large tasks find room. Lasting work shares few workers, so that the others can be lent, but
 // leaves memory on each. Serving and filling tasks are kept apart, as they slow each other down.
-auto fitness(const Worker &worker, const StepSpec &step, std::int64_t servingTasks,
-             std::int64_t lastingTasks) -> double
+auto fitness(const Worker &worker, const StepSpec &step) -> double
 {
     const auto part = [](std::int64_t amount, std::int64_t of) {
         return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(1, of));
@@ -64,22 +66,22 @@
     const auto  cpu = part(worker.room().cpu - need.cpu, capacity.cpu);
     const auto  memory = part(worker.room().memoryMb - need.memoryMb, capacity.memoryMb);
     if (step.isFiller) {
-        return cpu - static_cast<double>(servingTasks);
+        return cpu - static_cast<double>(worker.servingTasks);
     }
     if (step.isLongRunning) {
-        const auto joins = lastingTasks > 0 && memory >= kLastingMemoryLeft;
+        const auto joins = worker.lastingTasks > 0 && memory >= kLastingMemoryLeft;
         return std::min(cpu, memory) + (joins ? 1.0 : 0.0);
     }
     // What is left should be of use: both kinds of room, and in few large pieces.
     return -std::abs(cpu - memory) - kPackWeight * (cpu + memory);
 }
 
+// Runs are ordered by job, occurrence and step, so those of one step stand side by side.
 auto countSiblings(const Worker &worker, const TaskRef &ref) -> std::int64_t
 {
-    return std::ranges::count_if(worker.runs, [&](const auto &item) {
-        return item.first.job == ref.job && item.first.occurrence == ref.occurrence
-            && item.first.step == ref.step;
-    });
+    const auto first = worker.runs.lower_bound({ref.job, ref.occurrence, ref.step, 0});
+    const auto last = worker.runs.lower_bound({ref.job, ref.occurrence, ref.step + 1, 0});
+    return std::distance(first, last);
 }
 
 } // namespace
@@ -143,10 +145,14 @@
 {
     const auto isDue = nextDueMs_ > 0 && now.wallMs >= nextDueMs_;
     const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
-    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || now.steadyMs >= termUntil_) {
+    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || now.steadyMs >= termUntil_
+        || now.steadyMs < scheduleAt_) {
         return;
     }
     needsSchedule_ = false;
+    ++passes_;
+    scheduleAt_ = now.steadyMs + settings_.scheduleGapMs + std::ssize(active_) / kJobsPerGapMs;
+    noRoom_.clear();
     tenantWanted_.clear();
     wanted_ = {};
     for (const auto &step : findReadySteps(now)) {
@@ -193,12 +199,15 @@
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
         if (!isBlocked && mayUse(tenant, spec.need)) {
-            auto *worker = chooseWorker(now, entry, ref);
+            auto *worker = isHopeless(entry, ref) ? nullptr : chooseWorker(now, entry, ref);
             if (worker != nullptr) {
                 reserve(now, entry, ref, *worker);
                 continue;
             }
             isBlocked = true;
+            if (!spec.isLongRunning && spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
+                noRoom_.push_back(roomNeed(spec));
+            }
             if (spec.isLongRunning) {
                 reserveWorker(now, entry, ref);
             }
@@ -237,9 +246,7 @@
         auto state = RunState{};
         state.run = run + 1;
         state.need = roomNeed(spec);
-        worker->used += state.need;
-        tenantUsed_[tenant] += spec.need;
-        worker->runs[ref] = state;
+        occupy(*worker, ref, state);
         placed.emplace_back(worker, ref);
     }
     const auto isWhole = placed.size() == tasks.size();
@@ -288,14 +295,7 @@
         if (!need.fits(worker.room()) || !isAllowed(now, worker, entry, ref)) {
             continue;
         }
-        std::int64_t serving = 0;
-        std::int64_t lasting = 0;
-        for (const auto &[other, run] : worker.runs) {
-            const auto &otherStep = stepOf(jobs_.at(other.job), other);
-            lasting += otherStep.isLongRunning ? 1 : 0;
-            serving += otherStep.latencyTargetMs > 0 && !otherStep.isFiller ? 1 : 0;
-        }
-        auto score = fitness(worker, step, serving, lasting);
+        auto score = fitness(worker, step);
         if (!step.preferredRack.empty() && worker.report.rack == step.preferredRack) {
             score += kNearDataFitness;
         }
@@ -307,6 +307,15 @@
     return best;
 }
 
+// Returns whether a task that could run anywhere and needs no more has found no room in this round.
+auto PoolScheduler::State::isHopeless(const JobEntry &entry, const TaskRef &ref) const -> bool
+{
+    const auto need = roomNeed(stepOf(entry, ref));
+    return !stepOf(entry, ref).isLongRunning
+        && std::ranges::any_of(noRoom_,
+                               [&](const ResourceSet &missing) { return missing.fits(need); });
+}
+
 // Says once a while why a task of a job finds no worker.
 auto PoolScheduler::State::explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void
 {
@@ -371,9 +380,7 @@
     auto run = RunState{};
     run.run = task.run;
     run.need = roomNeed(stepOf(entry, ref));
-    worker.used += run.need;
-    tenantUsed_[entry.job.spec.tenant] += stepOf(entry, ref).need;
-    worker.runs[ref] = run;
+    occupy(worker, ref, run);
     if (entry.job.state == JobState::Queued) {
         entry.job.state = JobState::Running;
     }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -72,16 +72,19 @@
 
 auto PoolScheduler::onStarted(Moment now, const SendStart &sent, const OrderReply &reply) -> void
 {
+    state_->touched_.insert(sent.worker.id);
     state_->onStarted(now, sent, reply);
 }
 
 auto PoolScheduler::onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void
 {
+    state_->touched_.insert(sent.worker.id);
     state_->onStopped(now, sent, reply);
 }
 
 auto PoolScheduler::onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void
 {
+    state_->touched_.insert(sent.worker.id);
     state_->onHeld(now, sent, reply);
 }
 
@@ -95,6 +98,7 @@
         state_->flush(now);
         return;
     }
+    state_->touched_.clear();
     for (auto &[id, worker] : state_->workers_) {
         state_->tickWorker(now, worker);
     }
@@ -103,6 +107,25 @@
     state_->flush(now);
 }
 
+// An owner gets hundreds of answers a second, and has hundreds of workers: it doesn't look at all of the
+// latter for each of the former.
+auto PoolScheduler::advance(Moment now) -> void
+{
+    if (state_->isFenced_) {
+        return;
+    }
+    if (state_->handOver_ == HandOverStage::None) {
+        for (const auto &id : std::exchange(state_->touched_, {})) {
+            const auto worker = state_->workers_.find(id);
+            if (worker != state_->workers_.end()) {
+                state_->tickWorker(now, worker->second);
+            }
+        }
+        state_->schedule(now);
+    }
+    state_->flush(now);
+}
+
 auto PoolScheduler::direct(Moment now, const PoolDirection &direction) -> void
 {
     state_->direct(now, direction);
@@ -160,6 +183,11 @@
     return runs;
 }
 
+auto PoolScheduler::countPasses() const -> std::int64_t
+{
+    return state_->passes_;
+}
+
 auto PoolScheduler::isHandedOver() const -> bool
 {
     return state_->isFenced_ || state_->handOver_ == HandOverStage::Done;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -43,6 +43,7 @@
     TimeMs cordonPatienceMs = 5'000; // Timed tasks on a worker that is emptied may go on that long.
     TimeMs missingMs = 2'000;        // All nodes see within that that a worker's entry went.
     TimeMs flushGapMs = 10;          // Least time between appends. Batches changes.
+    TimeMs scheduleGapMs = 5;        // Least time between rounds of placement, with no jobs.
     TimeMs journalStallMs = 600;     // New jobs are refused while an append is older than that.
     TimeMs avoidMs = 3'000;          // A worker that failed several runs in a row rests that long.
     int    maxFailuresInRow = 3;     // Of one worker before it rests.
@@ -144,7 +145,8 @@
     auto onStarted(Moment now, const SendStart &sent, const OrderReply &reply) -> void;
     auto onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void;
     auto onHeld(Moment now, const SendHold &sent, const HoldReply &reply) -> void;
-    auto tick(Moment now) -> void;
+    auto tick(Moment now) -> void;    // Looks at everything that may be due.
+    auto advance(Moment now) -> void; // The same after an event, for what the event touched.
     auto direct(Moment now, const PoolDirection &direction) -> void; // Of the coordinator.
     auto takeActions() -> std::vector<PoolAction>;
 
@@ -156,6 +158,7 @@
     auto report() const -> PoolReport; // To the coordinator.
     auto countJobs() const -> std::size_t;
     auto countRuns() const -> std::size_t;
+    auto countPasses() const -> std::int64_t; // Rounds of placement so far.
     auto isHandedOver() const -> bool; // The last record is in the journal.
 
 private:
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -44,6 +44,8 @@
     bool                        isAsked = false; // Answered a hold under our token.
     bool                        isHoldOut = false;
     ResourceSet                 used;
+    std::int64_t                lastingTasks = 0; // Of the runs. Kept in step with them, since
+    std::int64_t                servingTasks = 0; // counting anew for each placement is dear.
     std::map<TaskRef, RunState> runs;
     std::int64_t                bornMs = -1;
     std::int64_t                seenEnd = 0;      // Highest end read in this life.
@@ -142,6 +144,7 @@
 
     // Runs (runs.cpp)
     auto onViewChanged(Moment now) -> void;
+    auto occupy(Worker &worker, const TaskRef &ref, const RunState &run) -> void;
     auto dispatch(Moment now, const StartEffect &effect) -> void;
     auto sendStart(Moment now, Worker &worker, const TaskRef &ref, RunState &run) -> void;
     auto requestStop(Moment now, Worker &worker, const TaskRef &ref) -> void;
@@ -173,6 +176,7 @@
     auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
     auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry,
                    const TaskRef &ref) const -> bool;
+    auto isHopeless(const JobEntry &entry, const TaskRef &ref) const -> bool;
     auto explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
     auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
@@ -195,6 +199,10 @@
     TimeMs                                       ownedSince_ = 0;
     bool                                         isFenced_ = false;
     bool                                         needsSchedule_ = false;
+    TimeMs                                       scheduleAt_ = 0; // Not before.
+    std::int64_t                                 passes_ = 0;     // Rounds of placement.
+    std::vector<ResourceSet>                     noRoom_;  // Needs that found none in this round.
+    std::set<std::string>                        touched_; // Workers to look at in the next round.
     std::int64_t                                 nextDueMs_ = 0; // Wall clock, of an occurrence.
     std::map<std::string, JobEntry, std::less<>> jobs_;
     std::set<std::string>                        active_; // Jobs that aren't over.
@@ -222,4 +230,10 @@
 
 auto stepOf(const JobEntry &entry, const TaskRef &ref) -> const StepSpec &;
 
+// Returns whether the step's tasks serve users of their own, within a latency target.
+inline auto isServing(const StepSpec &step) -> bool
+{
+    return step.latencyTargetMs > 0 && !step.isFiller;
+}
+
 } // namespace peridotwalk
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -111,14 +111,27 @@
     return worker.leaseUntilMs;
 }
 
+// Takes room on a worker and of the tenant's share. release() is its inverse.
+auto PoolScheduler::State::occupy(Worker &worker, const TaskRef &ref, const RunState &run) -> void
+{
+    const auto &entry = jobs_.at(ref.job);
+    const auto &step = stepOf(entry, ref);
+    worker.used += run.need;
+    worker.lastingTasks += step.isLongRunning ? 1 : 0;
+    worker.servingTasks += isServing(step) ? 1 : 0;
+    tenantUsed_[entry.job.spec.tenant] += step.need;
+    worker.runs[ref] = run;
+}
+
 auto PoolScheduler::State::release(Worker &worker, const TaskRef &ref) -> void
 {
-    const auto held = worker.runs.find(ref);
-    const auto entry = jobs_.find(ref.job);
+    const auto  held = worker.runs.find(ref);
+    const auto &entry = jobs_.at(ref.job);
+    const auto &step = stepOf(entry, ref);
     worker.used -= held->second.need;
-    if (entry != jobs_.end()) {
-        tenantUsed_[entry->second.job.spec.tenant] -= stepOf(entry->second, ref).need;
-    }
+    worker.lastingTasks -= step.isLongRunning ? 1 : 0;
+    worker.servingTasks -= isServing(step) ? 1 : 0;
+    tenantUsed_[entry.job.spec.tenant] -= step.need;
     worker.runs.erase(held);
 }
 
@@ -434,7 +447,7 @@
     auto load = 0.0; // Of the worst serving task, as a part of its target.
     for (const auto &[ref, run] : worker.runs) {
         const auto &step = stepOf(jobs_.at(ref.job), ref);
-        if (step.latencyTargetMs > 0 && !step.isFiller) {
+        if (isServing(step)) {
             load = std::max(
                 load, static_cast<double>(run.usage) / static_cast<double>(step.latencyTargetMs));
         }
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -189,6 +189,7 @@
         const auto action = std::move(events_.begin()->second);
         events_.erase(events_.begin());
         action();
+        owner_->advance(now_);
         drain();
     }
     if (!owner_->isHandedOver()) {
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -64,6 +64,19 @@
     cr_assert(world.owner().jobState("a") == JobState::Completed);
 }
 
+Test(pool, rounds_of_placement_stay_few_while_many_jobs_wait)
+{
+    auto world = PoolWorld(1, {}, 2);
+    for (auto number = 0; number < 400; ++number) {
+        world.submit(makeJob(fmt::format("job{}", number), {makeStep(4, 300)}));
+    }
+    const auto before = world.owner().countPasses();
+    world.run(1'000);
+    cr_assert_leq(world.owner().countPasses() - before, 25);
+    cr_assert_gt(world.owner().countRuns(), 0);
+    expectKept(world);
+}
+
 Test(pool, a_second_submission_of_an_id_stays_one_job)
 {
     auto world = PoolWorld(1, {}, 3);
