Store calls go by way of a peer while the store refuses this node, or is cut off from it

Ruled out: shorter terms (they would also hand pools over when the store is slow for all). A call takes one way only, so an unknown outcome stays the caller's to repeat.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -166,6 +166,17 @@
     TimeMs                             sendBy = 0; // On bootMs(): not sent later. 0: no limit.
 };
 
+// Sends calls and answers each once. What goes by HTTP depends on this only.
+class HttpClient
+{
+public:
+    using Done = std::function<void(HttpResult)>;
+
+    virtual ~HttpClient() = default;
+
+    virtual auto request(const std::string &address, HttpCall call, Done done) -> void = 0;
+};
+
 struct PoolLimits {
     bool         isProbed = true; // Prove each new connection by a request for "/health".
     std::size_t  maxPerAddress = 64;
@@ -179,14 +190,13 @@
 
 // Keep-alive connections by address. Unless limits say otherwise, a connection is made and proved by
 // a request for "/health" before it is handed out, so that a call on it leaves at once.
-class ConnectionPool
+class ConnectionPool final : public HttpClient
 {
 public:
     using Ready = std::function<void(absl::StatusOr<PooledConnection *>)>;
-    using Done = std::function<void(HttpResult)>;
 
     ConnectionPool(EventLoop &loop, const PoolLimits &limits);
-    ~ConnectionPool();
+    ~ConnectionPool() override;
     ConnectionPool(const ConnectionPool &) = delete;
     auto operator=(const ConnectionPool &) -> ConnectionPool & = delete;
 
@@ -195,7 +205,7 @@
     auto call(PooledConnection *connection, const HttpCall &call, Done done) -> void;
     auto giveBack(PooledConnection *connection) -> void;
     auto request(const std::string &address, HttpCall call, Done done)
-        -> void; // acquire() and call().
+        -> void override; // acquire() and call().
 
 private:
     friend class PooledConnection;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,9 +40,10 @@
 public:
     Node(NodeSettings settings, std::string file)
         : settings_(std::move(settings)), file_(std::move(file)), connections_(loop_, poolLimits()),
-          journal_(makeJournalStore(connections_, settings_.platform)),
-          group_(makeOwnershipGroup(connections_, settings_.platform)),
-          directoryService_(makeDirectory(connections_, settings_.platform)),
+          store_(loop_, connections_, settings_.platform.store, makeStoreProbe()),
+          journal_(makeJournalStore(store_, settings_.platform)),
+          group_(makeOwnershipGroup(store_, settings_.platform)),
+          directoryService_(makeDirectory(store_, settings_.platform)),
           workers_(makeWorkerService(connections_, settings_.platform)),
           machines_(makeMachineService(connections_, settings_.platform)),
           directory_(loop_, *directoryService_, settings_),
@@ -51,9 +52,10 @@
           router_(loop_, connections_, settings_, pools_, ownership_),
           coordinator_(loop_, *machines_, *directoryService_, settings_, directory_, ownership_),
           reporter_(loop_, connections_, settings_, pools_, coordinator_, ownership_),
-          peers_(loop_, settings_, pools_, coordinator_),
+          peers_(loop_, settings_, connections_, pools_, coordinator_),
           callers_(loop_, settings_, directory_, ownership_, router_)
     {
+        store_.setPeers([this] { return ownership_.peers(); });
     }
 
     auto run() -> int
@@ -141,6 +143,7 @@
     std::string                     file_;
     EventLoop                       loop_;
     ConnectionPool                  connections_;
+    DetourClient                    store_;
     std::unique_ptr<JournalStore>   journal_;
     std::unique_ptr<OwnershipGroup> group_;
     std::unique_ptr<Directory>      directoryService_;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include "node/detour.h"
 #include "node/node.h"
 
 namespace peridotwalk {
@@ -131,6 +132,7 @@
     auto ownership() const -> const Ownership & { return ownership_; }
     auto memberOf(std::string_view pool) const -> std::string; // Empty: not known.
     auto member() const -> const std::string & { return member_; }
+    auto peers() const -> std::vector<std::string>; // Addresses of other members.
     auto lastRenewedAt() const -> TimeMs { return lastRenewedAt_; }
 
     // Called with what to do once the pools that were lost are handed over.
@@ -191,8 +193,8 @@
     auto fence() -> void;
     auto readJournal() -> void;
     auto onJournal(const std::vector<KeyedRecord> &records) -> void;
-    auto run() -> void;        // After an event.
-    auto carryOut() -> void;   // What the scheduler decided.
+    auto run() -> void;      // After an event.
+    auto carryOut() -> void; // What the scheduler decided.
     auto perform(AppendJournal &action) -> void;
     auto perform(AnswerCaller &action) -> void;
     auto perform(SendStart &action) -> void;
@@ -360,8 +362,8 @@
 class PeerServerTask
 {
 public:
-    PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools,
-                   CoordinatorTask &coordinator);
+    PeerServerTask(EventLoop &loop, const NodeSettings &settings, HttpClient &store,
+                   PoolsTask &pools, CoordinatorTask &coordinator);
 
     auto listen() -> absl::Status;
 
@@ -369,9 +371,11 @@
     auto onRequest(const HttpRequest &request) -> void;
     auto onCall(const HttpRequest &request) -> void;
     auto onReport(const HttpRequest &request) -> void;
+    auto onStoreCall(const HttpRequest &request) -> void;
     auto refuse(const HttpRequest &request, const absl::Status &status) -> void;
 
     const NodeSettings &settings_;
+    HttpClient         &store_; // Direct: a peer's call takes no second detour.
     PoolsTask          &pools_;
     CoordinatorTask    &coordinator_;
     HttpServer          server_;
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -108,6 +108,17 @@
     });
 }
 
+auto OwnershipTask::peers() const -> std::vector<std::string>
+{
+    auto members = std::set<std::string>();
+    for (const auto &[partition, member] : owners_) {
+        if (member != member_) {
+            members.insert(addressOf(member));
+        }
+    }
+    return {members.begin(), members.end()};
+}
+
 auto OwnershipTask::memberOf(std::string_view pool) const -> std::string
 {
     const auto partition = partitionOf(pool, settings_.ownership.partitions);
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -96,9 +96,9 @@
 // [SECTION] Peer task
 //-----------------------------------------------------------------------------
 
-PeerServerTask::PeerServerTask(EventLoop &loop, const NodeSettings &settings, PoolsTask &pools,
-                               CoordinatorTask &coordinator)
-    : settings_(settings), pools_(pools), coordinator_(coordinator),
+PeerServerTask::PeerServerTask(EventLoop &loop, const NodeSettings &settings, HttpClient &store,
+                               PoolsTask &pools, CoordinatorTask &coordinator)
+    : settings_(settings), store_(store), pools_(pools), coordinator_(coordinator),
       server_(loop, {settings.maxHeaderBytes, 2 * settings.maxBodyBytes})
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
@@ -115,6 +115,8 @@
         onCall(request);
     } else if (request.path == kCoordinatorPath) {
         onReport(request);
+    } else if (request.path == kStorePath) {
+        onStoreCall(request);
     } else {
         refuse(request, makeError(absl::StatusCode::kNotFound, "peer.path", "", request.path));
     }
@@ -148,6 +150,20 @@
     }
 }
 
+auto PeerServerTask::onStoreCall(const HttpRequest &request) -> void
+{
+    auto call = unpackStoreCall(request.body);
+    if (!call.ok()) {
+        refuse(request, call.status());
+        return;
+    }
+    store_.request(
+        settings_.platform.store, *std::move(call),
+        [this, id = request.id](const HttpResult &result) {
+            server_.reply(id, {kHttpOk, "application/msgpack", packStoreResult(result), {}});
+        });
+}
+
 auto PeerServerTask::refuse(const HttpRequest &request, const absl::Status &status) -> void
 {
     constexpr int kBadRequest = 400;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -159,7 +159,7 @@
     auto countJobs() const -> std::size_t;
     auto countRuns() const -> std::size_t;
     auto countPasses() const -> std::int64_t; // Rounds of placement so far.
-    auto isHandedOver() const -> bool; // The last record is in the journal.
+    auto isHandedOver() const -> bool;        // The last record is in the journal.
 
 private:
     class State;
