The coordinator records its waves and its calls before they leave

Cause: each new coordinator began every wave anew (24 machines emptied again, waves late, 'running' written after 'completed'), and left all machines alone for 3 s, as it couldn't know which ones the former one had just called. Waves also slow down to what their time asks while a pool misses machines.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -8,6 +8,7 @@
 // [SECTION] Reports and directions
 // [SECTION] Quota ledger
 // [SECTION] Demand forecast
+// [SECTION] Coordinator's record
 // [SECTION] Machine planner
 
 #pragma once
@@ -119,15 +120,37 @@
     bool             isHigh_ = false;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Coordinator's record
+//-----------------------------------------------------------------------------
+
+// What the next coordinator has to know. Written before the calls that it names leave.
+struct CoordinatorRecord {
+    std::map<std::string, std::set<std::string>> maintained; // Machines that are done, by wave.
+    std::set<std::string>                        called;     // In the last few seconds.
+
+    auto operator==(const CoordinatorRecord &) const -> bool = default;
+};
+
+auto encodeCoordinator(const CoordinatorRecord &record) -> KeyedRecord;
+
+// Returns an empty record if none was written yet; an error names what can't be read.
+auto findCoordinator(const std::vector<KeyedRecord> &records) -> absl::StatusOr<CoordinatorRecord>;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Machine planner
 //-----------------------------------------------------------------------------
 
 struct PlannerSettings {
-    TimeMs       holderGapMs = 3'000; // A new holder leaves machines alone that long.
-    TimeMs       reportFreshMs = 700; // Older reports don't show that a worker is vacant.
-    TimeMs       listGapMs = 500;     // Between two listings.
-    TimeMs       callRetryMs = 500;   // After a call without an answer, or a refusal.
+    TimeMs       holderGapMs = 3'000;   // A new holder leaves machines that were just called alone.
+    TimeMs       recentCallMs = 3'500;  // A call is named in the record that long.
+    TimeMs       maintenanceMs = 2'000; // A machine is down for maintenance at least that long,
+    TimeMs       returnMs = 10'000;     // and at most that long if it isn't seen to return.
+    TimeMs       emptyingMs = 2'500;    // Of a machine, before its maintenance: as a rule.
+    TimeMs       goneMs = 10'000;       // A machine that isn't listed for longer is gone.
+    TimeMs       reportFreshMs = 700;   // Older reports don't show that a worker is vacant.
+    TimeMs       listGapMs = 500;       // Between two listings.
+    TimeMs       callRetryMs = 500;     // After a call without an answer, or a refusal.
     TimeMs       settleMs = 6'000;   // A machine that was called counts as away until listed again.
     TimeMs       calledMs = 12'000;  // The worker of a machine that was called gets no new runs.
     TimeMs       lendMs = 300;       // A machine is idle that long before another pool gets it,
@@ -153,11 +176,16 @@
     std::string machine;
     std::string wave;
 };
+struct RecordCalls {
+    std::int64_t      sequence = 0; // Rises by one.
+    CoordinatorRecord record;
+};
 struct WriteWaveState {
     std::string wave;
     bool        isCompleted = false;
 };
-using PlannerAction = std::variant<ListMachines, MoveMachine, MaintainMachine, WriteWaveState>;
+using PlannerAction =
+    std::variant<ListMachines, RecordCalls, MoveMachine, MaintainMachine, WriteWaveState>;
 
 class MachinePlanner
 {
@@ -165,13 +193,15 @@
     explicit MachinePlanner(const PlannerSettings &settings) : settings_(settings) { }
 
     // Commands.
-    auto begin(TimeMs now) -> void; // This node has become the holder.
+    // This node has become the holder, and read what the former one recorded.
+    auto begin(TimeMs now, const CoordinatorRecord &before) -> void;
     auto setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void;
     auto setCatalog(const Catalog &catalog) -> void;
     auto setEvacuated(const std::set<std::string> &zones) -> void; // Their machines are no use.
     auto onReport(TimeMs now, const PoolReport &report) -> void;
     auto onListed(TimeMs now, const std::vector<MachineEntry> &machines) -> void;
     auto onListFailed(TimeMs now) -> void;
+    auto onRecorded(std::int64_t sequence) -> void; // The journal has it: its calls leave.
     auto onMoved(TimeMs now, const MoveMachine &call, const MachineReply &reply) -> void;
     auto onMaintained(TimeMs now, const MaintainMachine &call, const MachineReply &reply) -> void;
     auto onWaveWritten(const WriteWaveState &call, CallOutcome outcome) -> void;
@@ -189,10 +219,14 @@
         bool                  isRunningWritten = false;
         bool                  isCompletedWritten = false;
         bool                  isWriting = false;
+        bool                  isRestored = false; // Begun by a former holder.
     };
     struct Machine {
         MachineEntry          entry;
         bool                  isListed = false;
+        TimeMs                listedAt = -1;       // Last, in a list.
+        TimeMs                calledAt = -1;       // Last, by us.
+        TimeMs                maintainedAt = -1;   // It may have gone down for maintenance then.
         bool                  isCalling = false;   // A call is under way.
         TimeMs                awayUntil = 0;       // It was called, and isn't known to be back.
         TimeMs                answeredAt = -1;     // The last call was answered then, or given up.
@@ -216,6 +250,11 @@
 
     auto planWaves(TimeMs now) -> void;
     auto planWave(TimeMs now, Wave &wave) -> void;
+    auto countBusy(TimeMs now, const Wave &wave) -> std::int64_t;
+    auto allowedAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t;
+    auto mayBeDown(TimeMs now, const Machine &machine) const -> bool; // For maintenance.
+    auto isGone(TimeMs now, const Machine &machine) const -> bool;
+    auto recordCalls(TimeMs now) -> void;
     auto planMoves(TimeMs now) -> void;
     auto callReady(TimeMs now) -> void;
     auto isVacant(TimeMs now, const Machine &machine) const -> bool;
@@ -244,7 +283,14 @@
     auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
 
     PlannerSettings                          settings_;
-    TimeMs                                   heldSince_ = 0;
+    TimeMs                                   heldSince_ = -1; // Not the holder yet.
+    CoordinatorRecord                        before_;         // Of the former holder.
+    CoordinatorRecord                        recorded_;       // Last written, or being written.
+    std::int64_t                             sequence_ = 0;   // Of the record.
+    bool                                     isRecording_ = false;
+    std::vector<PlannerAction>               unrecorded_; // Calls that wait for the next record.
+    std::vector<PlannerAction>               recording_;  // Calls that wait for this one.
+    bool                                     isShort_ = false; // A pool misses machines.
     TimeMs                                   listAt_ = 0;
     TimeMs                                   listSentAt_ = 0;
     bool                                     isListing_ = false;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -5,15 +5,28 @@
 
 namespace peridotwalk {
 
+namespace {
+
+constexpr double kWavePart = 0.8; // Of the time of a wave: the rest is for machines that are late.
+
+} // namespace
+
 //-----------------------------------------------------------------------------
 // [SECTION] Machine planner
 //-----------------------------------------------------------------------------
 
-// Another holder may have called machines until just now.
-auto MachinePlanner::begin(TimeMs now) -> void
+// The former holder may have called the machines that it named until just now. No other: it recorded
+// each call before.
+auto MachinePlanner::begin(TimeMs now, const CoordinatorRecord &before) -> void
 {
     heldSince_ = now;
     hasList_ = false;
+    before_ = before;
+    for (const auto &name : before.called) {
+        auto &machine = machines_[name];
+        machine.retryAt = now + settings_.holderGapMs;
+        machine.maintainedAt = now;
+    }
 }
 
 auto MachinePlanner::setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void
@@ -22,7 +35,12 @@
     for (const auto &[name, order] : waves) {
         auto [found, isNew] = waves_.try_emplace(name);
         if (isNew) {
+            const auto former = before_.maintained.find(name);
             found->second.seenAt = now;
+            found->second.isRestored = former != before_.maintained.end();
+            if (found->second.isRestored) {
+                found->second.done = former->second;
+            }
         }
         if (isNew || found->second.order.machines != order.machines) {
             found->second.isCompletedWritten = false;
@@ -85,6 +103,7 @@
     for (const auto &entry : machines) {
         auto &machine = machines_[entry.name];
         machine.isListed = true;
+        machine.listedAt = now;
         if (machine.isCalling || machine.answeredAt >= listSentAt_) {
             continue; // The list was made before the call that is known to have changed the machine.
         }
@@ -144,6 +163,7 @@
     } else {
         machine.awayUntil = now + settings_.settleMs;
         machine.retryAt = now + settings_.callRetryMs;
+        machine.maintainedAt = now;
     }
     const auto isGone = reply.outcome == CallOutcome::Refused
         && (reply.refusal == MachineRefusal::Invalid || reply.refusal == MachineRefusal::WrongWave);
@@ -183,7 +203,7 @@
         listSentAt_ = now;
         actions_.push_back(ListMachines{});
     }
-    if (!hasList_ || now - heldSince_ < settings_.holderGapMs) {
+    if (!hasList_ || heldSince_ < 0) {
         return;
     }
     planWaves(now);
@@ -191,6 +211,7 @@
         planMoves(now);
     }
     callReady(now);
+    recordCalls(now);
 }
 
 //-----------------------------------------------------------------------------
@@ -206,26 +227,72 @@
     }
 }
 
+// A machine counts until it is seen back on a new life of its worker: a list may show it as up while the
+// platform hasn't noticed that it crashed.
+auto MachinePlanner::mayBeDown(TimeMs now, const Machine &machine) const -> bool
+{
+    if (machine.maintainedAt < 0 || now - machine.maintainedAt >= settings_.returnMs) {
+        return false;
+    }
+    if (now - machine.maintainedAt < settings_.maintenanceMs || !machine.isListed
+        || machine.entry.state != MachineState::Up) {
+        return true;
+    }
+    if (isStandby(machine.entry.pool)) {
+        return false;
+    }
+    const auto pool = pools_.find(machine.entry.pool);
+    return machine.entry.worker == machine.calledWorker || pool == pools_.end()
+        || !pool->second.workers.contains(machine.entry.worker);
+}
+
+// A machine that crashed may be missing in lists for a while.
+auto MachinePlanner::isGone(TimeMs now, const Machine &machine) const -> bool
+{
+    return !machine.isListed && now - std::max(machine.listedAt, heldSince_) >= settings_.goneMs;
+}
+
+// Counts the machines of a wave that are taken, or down for any reason that is known.
+auto MachinePlanner::countBusy(TimeMs now, const Wave &wave) -> std::int64_t
+{
+    return std::ranges::count_if(wave.order.machines, [&](const auto &name) {
+        const auto &machine = machines_[name];
+        const auto  isTaken = machine.wantedWave == wave.order.name;
+        const auto  isDown =
+            machine.isListed ? machine.entry.state == MachineState::Down : !isGone(now, machine);
+        return isTaken || isDown || isAway(now, machine) || mayBeDown(now, machine);
+    });
+}
+
+// A wave goes at full speed while no pool misses machines, and otherwise as fast as it must to be done
+// in time.
+auto MachinePlanner::allowedAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t
+{
+    if (!isShort_ || wave.isRestored) { // How long ago a former holder began isn't known.
+        return wave.order.maxAtOnce;
+    }
+    const auto left = std::ssize(wave.order.machines) - std::ssize(wave.done);
+    const auto each = settings_.emptyingMs + settings_.maintenanceMs;
+    const auto time = static_cast<TimeMs>(kWavePart * static_cast<double>(wave.order.withinMs))
+        - (now - wave.seenAt);
+    const auto needed = time <= each ? wave.order.maxAtOnce : (left * each + time - 1) / time;
+    return std::min(needed, wave.order.maxAtOnce);
+}
+
 // Chooses machines to empty next: those without runs first, and never too many of one pool.
 auto MachinePlanner::planWave(TimeMs now, Wave &wave) -> void
 {
-    std::int64_t busy = 0;
-    auto         waiting = std::vector<Machine *>();
-    auto         isDone = true;
+    auto waiting = std::vector<Machine *>();
+    auto isDone = true;
     for (const auto &name : wave.order.machines) {
-        auto      &machine = machines_[name];
-        const auto isOver = wave.done.contains(name);
-        isDone = isDone && isOver;
-        const auto isTaken = machine.wantedWave == wave.order.name;
-        const auto isDown = machine.isListed && machine.entry.state == MachineState::Down;
-        busy += isTaken || isDown || isAway(now, machine) ? 1 : 0;
-        if (isOver) {
+        auto &machine = machines_[name];
+        if (wave.done.contains(name)) {
             continue;
         }
-        if (!machine.isListed) {
-            machine.entry.name = name;
-        }
-        if (!isTaken && machine.wantedWave.empty() && !isAway(now, machine)) {
+        isDone = false;
+        machine.entry.name = name;
+        if (machine.wantedWave.empty() && now >= machine.retryAt && !isAway(now, machine)
+            && (machine.isListed || isGone(now, machine))) {
             waiting.push_back(&machine);
         }
     }
@@ -238,6 +305,8 @@
         wave.isWriting = true;
         actions_.push_back(WriteWaveState{wave.order.name, false});
     }
+    auto       busy = countBusy(now, wave);
+    const auto allowed = allowedAtOnce(now, wave);
     const auto runsOf = [&](const Machine *machine) {
         const auto pool = pools_.find(machine->entry.pool);
         if (pool == pools_.end()) {
@@ -248,7 +317,7 @@
     };
     std::ranges::sort(waiting, {}, runsOf);
     for (auto *machine : waiting) {
-        if (busy >= wave.order.maxAtOnce) {
+        if (busy >= allowed) {
             return;
         }
         const auto &pool = machine->entry.pool;
@@ -413,6 +482,8 @@
             --from.surplus;
         }
     }
+    isShort_ =
+        std::ranges::any_of(balances, [](const auto &item) { return item.second.missing > 0; });
 }
 
 //-----------------------------------------------------------------------------
@@ -433,6 +504,7 @@
 auto MachinePlanner::callMachine(TimeMs now, const std::string &name, Machine &machine) -> void
 {
     machine.isCalling = true;
+    machine.calledAt = now;
     machine.wasSeenAway = false;
     machine.awayUntil = now + settings_.settleMs;
     machine.calledWorker = machine.entry.worker;
@@ -441,17 +513,57 @@
         called_[machine.entry.worker] = now + settings_.calledMs;
     }
     if (!machine.wantedWave.empty()) {
-        actions_.push_back(MaintainMachine{name, machine.wantedWave});
+        unrecorded_.emplace_back(MaintainMachine{name, machine.wantedWave});
     } else {
-        actions_.push_back(MoveMachine{name, machine.wantedPool});
+        unrecorded_.emplace_back(MoveMachine{name, machine.wantedPool});
+    }
+}
+
+// Brings the record up to date before the calls that it names leave. One is under way at a time.
+auto MachinePlanner::recordCalls(TimeMs now) -> void
+{
+    if (isRecording_) {
+        return;
+    }
+    auto record = CoordinatorRecord{};
+    for (const auto &[name, wave] : waves_) {
+        if (!wave.done.empty()) {
+            record.maintained[name] = wave.done;
+        }
+    }
+    for (const auto &[name, machine] : machines_) {
+        if (machine.calledAt >= 0 && now - machine.calledAt < settings_.recentCallMs) {
+            record.called.insert(name);
+        }
+    }
+    const auto isDue = !unrecorded_.empty() || record.maintained != recorded_.maintained;
+    if (!isDue) {
+        return;
+    }
+    isRecording_ = true;
+    recorded_ = std::move(record);
+    recording_ = std::exchange(unrecorded_, {});
+    actions_.push_back(RecordCalls{++sequence_, recorded_});
+}
+
+auto MachinePlanner::onRecorded(std::int64_t sequence) -> void
+{
+    if (!isRecording_ || sequence != sequence_) {
+        return;
+    }
+    isRecording_ = false;
+    for (auto &call : std::exchange(recording_, {})) {
+        actions_.push_back(std::move(call));
     }
 }
 
 // Nothing runs on the machine, and nothing will start there.
 auto MachinePlanner::isEmptied(TimeMs now, const Machine &machine) const -> bool
 {
-    if (!machine.isListed || isStandby(machine.entry.pool)
-        || machine.entry.state != MachineState::Up) {
+    if (!machine.isListed) {
+        return isGone(now, machine);
+    }
+    if (isStandby(machine.entry.pool) || machine.entry.state != MachineState::Up) {
         return true;
     }
     if (!isVacant(now, machine)) {
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr TimeMs kTickMs = 100;
+constexpr TimeMs kJournalRetryMs = 100; // The store answers in a few ms; retries cost calls.
 constexpr int    kHttpOk = 200;
 constexpr TimeMs kStatusGapMs = 1'000;  // Between two status lines of a pool.
 constexpr TimeMs kHolderMarginMs = 800; // Of a term, for calls on their way to machines.
@@ -15,12 +16,10 @@
 // [SECTION] Coordinator task
 //-----------------------------------------------------------------------------
 
-CoordinatorTask::CoordinatorTask(EventLoop &loop, MachineService &machines,
-                                 Directory &directoryService, const NodeSettings &settings,
+CoordinatorTask::CoordinatorTask(EventLoop &loop, Services services, const NodeSettings &settings,
                                  DirectoryTask &directory, OwnershipTask &ownership)
-    : machines_(machines), directoryService_(directoryService), settings_(settings),
-      directory_(directory), ownership_(ownership),
-      timer_(std::make_unique<Timer>(loop, kTickMs, [this] { tick(); }))
+    : loop_(loop), services_(services), settings_(settings), directory_(directory),
+      ownership_(ownership), timer_(std::make_unique<Timer>(loop, kTickMs, [this] { tick(); }))
 {
     ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
 }
@@ -41,8 +40,61 @@
     }
     duty_ = std::make_shared<Duty>(
         Duty{found->second, QuotaLedger(), MachinePlanner(settings_.planner)});
-    duty_->planner.begin(bootMs());
-    logEvent(LogLevel::Info, "coordinator.held", {{"token", duty_->token}});
+    fence(duty_);
+}
+
+auto CoordinatorTask::writer(const Duty &duty, std::int64_t sequence) const -> JournalWriter
+{
+    return {std::string(kCoordinatorName),
+            partitionOf(kCoordinatorName, settings_.ownership.partitions), duty.token, sequence};
+}
+
+// Does something after a pause, unless the duty is another node's by then.
+auto CoordinatorTask::later(const DutyPtr &duty, std::function<void()> action) -> void
+{
+    loop_.post(
+        [this, duty, action = std::move(action)] {
+            if (duty == duty_) {
+                action();
+            }
+        },
+        kJournalRetryMs);
+}
+
+// First the store refuses the former holder's records, then what it wrote is read.
+auto CoordinatorTask::fence(const DutyPtr &duty) -> void
+{
+    services_.journal.fence(writer(*duty, 0), [this, duty](CallOutcome outcome) {
+        if (outcome == CallOutcome::Done) {
+            readRecord(duty);
+        } else if (outcome != CallOutcome::Fenced) {
+            later(duty, [this, duty] { fence(duty); });
+        }
+    });
+}
+
+auto CoordinatorTask::readRecord(const DutyPtr &duty) -> void
+{
+    services_.journal.readNewest(
+        writer(*duty, 0).partition,
+        [this, duty](const absl::StatusOr<std::vector<KeyedRecord>> &records) {
+            if (!records.ok()) {
+                later(duty, [this, duty] { readRecord(duty); });
+                return;
+            }
+            auto before = findCoordinator(*records);
+            if (!before.ok()) {
+                logEvent(LogLevel::Error, "journal.bad_record",
+                         {{"error", before.status().ToString()}});
+                before = CoordinatorRecord{};
+            }
+            duty->hasBegun = true;
+            duty->planner.begin(bootMs(), *before);
+            logEvent(LogLevel::Info, "coordinator.held",
+                     {{"token", duty->token},
+                      {"waves", before->maintained.size()},
+                      {"just_called", before->called.size()}});
+        });
 }
 
 auto CoordinatorTask::isInTerm() const -> bool
@@ -70,7 +122,8 @@
 
 auto CoordinatorTask::tick() -> void
 {
-    if (!isInTerm() || !directory_.hasCatalog() || settings_.platform.machines.empty()) {
+    if (!isInTerm() || !duty_->hasBegun || !directory_.hasCatalog()
+        || settings_.platform.machines.empty()) {
         return;
     }
     auto &planner = duty_->planner;
@@ -78,62 +131,89 @@
     planner.setEvacuated(directory_.view().evacuatedZones);
     planner.setWaves(bootMs(), directory_.view().waves);
     planner.tick(bootMs());
-    for (const auto &action : planner.takeActions()) {
+    carryOut();
+}
+
+auto CoordinatorTask::carryOut() -> void
+{
+    for (const auto &action : duty_->planner.takeActions()) {
         std::visit([this](const auto &one) { perform(one); }, action);
     }
 }
 
+auto CoordinatorTask::perform(const RecordCalls &action) -> void
+{
+    append(duty_, action);
+}
+
+// The same record again until the journal has it: a repeat has no further effect.
+auto CoordinatorTask::append(const DutyPtr &duty, const RecordCalls &action) -> void
+{
+    services_.journal.append(writer(*duty, action.sequence), {encodeCoordinator(action.record)},
+                             [this, duty, action](CallOutcome outcome) {
+                                 if (outcome == CallOutcome::Done) {
+                                     duty->planner.onRecorded(action.sequence);
+                                     if (duty == duty_ && isInTerm()) {
+                                         carryOut();
+                                     }
+                                 } else if (outcome != CallOutcome::Fenced) {
+                                     later(duty, [this, duty, action] { append(duty, action); });
+                                 }
+                             });
+}
+
 auto CoordinatorTask::perform(const ListMachines & /*action*/) -> void
 {
-    machines_.list([duty = duty_](const absl::StatusOr<std::vector<MachineEntry>> &machines) {
-        if (machines.ok()) {
-            duty->planner.onListed(bootMs(), *machines);
-        } else {
-            logEvent(LogLevel::Warning, "machines.list_failed",
-                     {{"error", machines.status().ToString()}});
-            duty->planner.onListFailed(bootMs());
-        }
-    });
+    services_.machines.list(
+        [duty = duty_](const absl::StatusOr<std::vector<MachineEntry>> &machines) {
+            if (machines.ok()) {
+                duty->planner.onListed(bootMs(), *machines);
+            } else {
+                logEvent(LogLevel::Warning, "machines.list_failed",
+                         {{"error", machines.status().ToString()}});
+                duty->planner.onListFailed(bootMs());
+            }
+        });
 }
 
 auto CoordinatorTask::perform(const MoveMachine &action) -> void
 {
-    machines_.move(action.machine, action.pool, holder(),
-                   [duty = duty_, action](const MachineReply &reply) {
-                       logEvent(LogLevel::Info, "machine.moved",
-                                {{"machine", action.machine},
-                                 {"pool", action.pool},
-                                 {"token", duty->token},
-                                 {"outcome", static_cast<int>(reply.outcome)},
-                                 {"refusal", static_cast<int>(reply.refusal)}});
-                       duty->planner.onMoved(bootMs(), action, reply);
-                   });
+    services_.machines.move(action.machine, action.pool, holder(),
+                            [duty = duty_, action](const MachineReply &reply) {
+                                logEvent(LogLevel::Info, "machine.moved",
+                                         {{"machine", action.machine},
+                                          {"pool", action.pool},
+                                          {"token", duty->token},
+                                          {"outcome", static_cast<int>(reply.outcome)},
+                                          {"refusal", static_cast<int>(reply.refusal)}});
+                                duty->planner.onMoved(bootMs(), action, reply);
+                            });
 }
 
 auto CoordinatorTask::perform(const MaintainMachine &action) -> void
 {
-    machines_.maintain(action.machine, action.wave, holder(),
-                       [duty = duty_, action](const MachineReply &reply) {
-                           logEvent(LogLevel::Info, "machine.maintained",
-                                    {{"machine", action.machine},
-                                     {"wave", action.wave},
-                                     {"token", duty->token},
-                                     {"outcome", static_cast<int>(reply.outcome)},
-                                     {"refusal", static_cast<int>(reply.refusal)}});
-                           duty->planner.onMaintained(bootMs(), action, reply);
-                       });
+    services_.machines.maintain(action.machine, action.wave, holder(),
+                                [duty = duty_, action](const MachineReply &reply) {
+                                    logEvent(LogLevel::Info, "machine.maintained",
+                                             {{"machine", action.machine},
+                                              {"wave", action.wave},
+                                              {"token", duty->token},
+                                              {"outcome", static_cast<int>(reply.outcome)},
+                                              {"refusal", static_cast<int>(reply.refusal)}});
+                                    duty->planner.onMaintained(bootMs(), action, reply);
+                                });
 }
 
 auto CoordinatorTask::perform(const WriteWaveState &action) -> void
 {
-    directoryService_.writeWaveState(action.wave, action.isCompleted,
-                                     [duty = duty_, action](CallOutcome outcome) {
-                                         logEvent(LogLevel::Info, "wave.state",
-                                                  {{"wave", action.wave},
-                                                   {"completed", action.isCompleted},
-                                                   {"outcome", static_cast<int>(outcome)}});
-                                         duty->planner.onWaveWritten(action, outcome);
-                                     });
+    services_.directory.writeWaveState(action.wave, action.isCompleted,
+                                       [duty = duty_, action](CallOutcome outcome) {
+                                           logEvent(LogLevel::Info, "wave.state",
+                                                    {{"wave", action.wave},
+                                                     {"completed", action.isCompleted},
+                                                     {"outcome", static_cast<int>(outcome)}});
+                                           duty->planner.onWaveWritten(action, outcome);
+                                       });
 }
 
 //-----------------------------------------------------------------------------
--- a/src/node/detour.cpp
+++ b/src/node/detour.cpp
@@ -46,8 +46,8 @@
 constexpr TimeMs kProbeGapMs = 700;     // A probe is one priced call.
 constexpr TimeMs kProbeCheckMs = 100;   // How often a probe may become due.
 constexpr TimeMs kProbeTimeoutMs = 300; // The store answers in a few ms.
-constexpr TimeMs kPeerRestMs = 200;     // After a failed call by a peer: the store may be down for all.
-constexpr TimeMs kPeerMarginMs = 100;   // Two more hops between nodes.
+constexpr TimeMs kPeerRestMs = 200; // After a failed call by a peer: the store may be down for all.
+constexpr TimeMs kPeerMarginMs = 100; // Two more hops between nodes.
 
 auto isGood(const HttpResult &result) -> bool
 {
@@ -103,8 +103,8 @@
 
 auto packStoreResult(const HttpResult &result) -> std::string
 {
-    return packWire(StoreResultRow{result.isWhole, result.isWritten, result.status, result.body,
-                                   result.error});
+    return packWire(
+        StoreResultRow{result.isWhole, result.isWritten, result.status, result.body, result.error});
 }
 
 auto unpackStoreResult(std::string_view bytes) -> absl::StatusOr<HttpResult>
@@ -113,8 +113,8 @@
     if (!row.ok()) {
         return row.status();
     }
-    return HttpResult{row->isWhole, row->isWritten, row->status, {}, std::move(row->body),
-                      std::move(row->error)};
+    return HttpResult{row->isWhole, row->isWritten,       row->status,
+                      {},           std::move(row->body), std::move(row->error)};
 }
 
 //-----------------------------------------------------------------------------
@@ -172,8 +172,9 @@
                 : makeError(absl::StatusCode::kUnavailable, "peer.store_call", peer, result.error);
             // A call that reached the peer may have reached the store.
             auto outcome = answer.ok() ? *std::move(answer)
-                                       : HttpResult{false, result.isWritten, 0, {}, {},
-                                                    std::string(answer.status().message())};
+                                       : HttpResult{false, result.isWritten,
+                                                    0,     {},
+                                                    {},    std::string(answer.status().message())};
             path_.onPeer(bootMs(), isGood(outcome));
             done(std::move(outcome));
         });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,7 +50,8 @@
           ownership_(loop_, *group_, settings_, makeMember(settings_)),
           pools_(loop_, {*journal_, *workers_}, settings_, directory_, ownership_),
           router_(loop_, connections_, settings_, pools_, ownership_),
-          coordinator_(loop_, *machines_, *directoryService_, settings_, directory_, ownership_),
+          coordinator_(loop_, {*journal_, *machines_, *directoryService_}, settings_, directory_,
+                       ownership_),
           reporter_(loop_, connections_, settings_, pools_, coordinator_, ownership_),
           peers_(loop_, settings_, connections_, pools_, coordinator_),
           callers_(loop_, settings_, directory_, ownership_, router_)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -297,9 +297,14 @@
 class CoordinatorTask
 {
 public:
-    CoordinatorTask(EventLoop &loop, MachineService &machines, Directory &directoryService,
-                    const NodeSettings &settings, DirectoryTask &directory,
-                    OwnershipTask &ownership);
+    struct Services {
+        JournalStore   &journal;
+        MachineService &machines;
+        Directory      &directory;
+    };
+
+    CoordinatorTask(EventLoop &loop, Services services, const NodeSettings &settings,
+                    DirectoryTask &directory, OwnershipTask &ownership);
 
     // Returns nothing if another node is the coordinator.
     auto handle(const PoolReport &report) -> std::optional<PoolDirection>;
@@ -309,9 +314,18 @@
         std::int64_t   token = 0;
         QuotaLedger    ledger;
         MachinePlanner planner;
+        bool           hasBegun = false; // The former holder's record was read.
     };
+    using DutyPtr = std::shared_ptr<Duty>;
 
     auto refresh() -> void;
+    auto fence(const DutyPtr &duty) -> void;
+    auto readRecord(const DutyPtr &duty) -> void;
+    auto append(const DutyPtr &duty, const RecordCalls &action) -> void;
+    auto carryOut() -> void;
+    auto writer(const Duty &duty, std::int64_t sequence) const -> JournalWriter;
+    auto later(const DutyPtr &duty, std::function<void()> action) -> void;
+    auto perform(const RecordCalls &action) -> void;
     auto tick() -> void;
     auto isInTerm() const -> bool;
     auto holder() const -> MachineHolder;
@@ -320,12 +334,12 @@
     auto perform(const MaintainMachine &action) -> void;
     auto perform(const WriteWaveState &action) -> void;
 
-    MachineService        &machines_;
-    Directory             &directoryService_;
+    EventLoop             &loop_;
+    Services               services_;
     const NodeSettings    &settings_;
     DirectoryTask         &directory_;
     OwnershipTask         &ownership_;
-    std::shared_ptr<Duty>  duty_; // Nothing: another node has it. Calls under way keep the old one.
+    DutyPtr                duty_; // Nothing: another node has it. Calls under way keep the old one.
     std::unique_ptr<Timer> timer_;
 };
 
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -46,9 +46,11 @@
 class Fleet
 {
 public:
-    explicit Fleet(int machines, PlannerSettings settings = {}) : planner_(settings)
+    explicit Fleet(int machines, PlannerSettings settings = {},
+                   const CoordinatorRecord &before = {})
+        : planner_(settings)
     {
-        planner_.begin(kStartMs);
+        planner_.begin(kStartMs, before);
         planner_.setCatalog(makeCatalog(0));
         report_ = makeReport("p", 0, 0, 0);
         for (auto number = 0; number < machines; ++number) {
@@ -81,17 +83,30 @@
             }
             planner_.onReport(now_, report_);
             planner_.tick(now_);
-            for (const auto &action : planner_.takeActions()) {
-                if (std::holds_alternative<ListMachines>(action)) {
-                    planner_.onListed(now_, machines_);
-                } else if (const auto *call = std::get_if<MaintainMachine>(&action)) {
-                    maintained.push_back(*call);
-                } else if (const auto *move = std::get_if<MoveMachine>(&action)) {
-                    moved.push_back(*move);
-                } else {
-                    states.push_back(std::get<WriteWaveState>(action));
-                    planner_.onWaveWritten(states.back(), CallOutcome::Done);
+            for (auto actions = planner_.takeActions(); !actions.empty();
+                 actions = planner_.takeActions()) {
+                perform(actions);
+            }
+        }
+    }
+
+    auto perform(const std::vector<PlannerAction> &actions) -> void
+    {
+        for (const auto &action : actions) {
+            if (std::holds_alternative<ListMachines>(action)) {
+                planner_.onListed(now_, machines_);
+            } else if (const auto *record = std::get_if<RecordCalls>(&action)) {
+                records.push_back(*record);
+                if (isRecording) {
+                    planner_.onRecorded(record->sequence);
                 }
+            } else if (const auto *call = std::get_if<MaintainMachine>(&action)) {
+                maintained.push_back(*call);
+            } else if (const auto *move = std::get_if<MoveMachine>(&action)) {
+                moved.push_back(*move);
+            } else {
+                states.push_back(std::get<WriteWaveState>(action));
+                planner_.onWaveWritten(states.back(), CallOutcome::Done);
             }
         }
     }
@@ -101,6 +116,8 @@
     std::vector<MaintainMachine> maintained;
     std::vector<MoveMachine>     moved;
     std::vector<WriteWaveState>  states;
+    std::vector<RecordCalls>     records;
+    bool                         isRecording = true; // The journal answers.
 
 private:
     MachinePlanner            planner_;
@@ -216,14 +233,21 @@
 {
     auto planner = MachinePlanner(stayingPut());
     auto catalog = makeCatalog(0);
-    planner.begin(kStartMs);
+    planner.begin(kStartMs, {});
     planner.setCatalog(catalog);
     planner.setWaves(kStartMs, makeWave(2, 1));
     auto machines = std::vector<MachineEntry>{{"m0", "standby", "a", "", {}, MachineState::Up},
                                               {"m1", "standby", "a", "", {}, MachineState::Up}};
     auto calls = std::vector<MaintainMachine>();
     const auto collect = [&] {
-        for (const auto &action : planner.takeActions()) {
+        auto actions = planner.takeActions();
+        for (const auto &action : actions) {
+            if (const auto *record = std::get_if<RecordCalls>(&action)) {
+                planner.onRecorded(record->sequence);
+            }
+        }
+        std::ranges::move(planner.takeActions(), std::back_inserter(actions));
+        for (const auto &action : actions) {
             if (const auto *call = std::get_if<MaintainMachine>(&action)) {
                 calls.push_back(*call);
             }
@@ -264,17 +288,105 @@
     cr_assert(std::ranges::any_of(fleet.states, &WriteWaveState::isCompleted));
 }
 
-Test(planner, a_new_holder_leaves_machines_alone_for_a_while)
+Test(planner, a_new_holder_leaves_machines_that_were_just_called_alone_for_a_while)
 {
-    auto fleet = Fleet(3, stayingPut());
-    for (std::size_t number = 0; number < 3; ++number) {
+    auto before = CoordinatorRecord{};
+    before.called = {"m0"};
+    auto fleet = Fleet(4, stayingPut(), before);
+    for (std::size_t number = 0; number < 4; ++number) {
         fleet.worker(number).runs = 0;
     }
-    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.planner().setWaves(fleet.now(), makeWave(2, 2));
     fleet.run(2'900);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    cr_assert_eq(fleet.maintained[0].machine, "m1"); // Nobody else can have called it.
+    fleet.planner().onMaintained(fleet.now(), fleet.maintained[0],
+                                 {CallOutcome::Done, MachineRefusal::None});
+    fleet.machine(1).worker = "w1-new";
+    fleet.worker(1).id = "w1-new";
+    fleet.run(10'000);
+    cr_assert_eq(fleet.maintained.size(), 2U);
+    cr_assert_eq(fleet.maintained[1].machine, "m0");
+}
+
+Test(planner, no_call_leaves_before_the_journal_names_it)
+{
+    auto fleet = Fleet(4, stayingPut());
+    fleet.isRecording = false;
+    fleet.worker(0).runs = 0;
+    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.run(5'000);
+    cr_assert(fleet.maintained.empty());
+    cr_assert_eq(fleet.records.size(), 1U);
+    cr_assert(fleet.records[0].record.called.contains("m0"));
+    fleet.planner().onRecorded(fleet.records[0].sequence);
+    fleet.run(100);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+}
+
+Test(planner, a_new_holder_doesnt_maintain_again_what_is_done)
+{
+    auto before = CoordinatorRecord{};
+    before.maintained["1"] = {"m0", "m1"};
+    const auto copy = findCoordinator({encodeCoordinator(before)});
+    cr_assert(copy.ok() && *copy == before);
+    auto fleet = Fleet(4, stayingPut(), *copy);
+    for (std::size_t number = 0; number < 4; ++number) {
+        fleet.worker(number).runs = 0;
+    }
+    fleet.planner().setWaves(fleet.now(), makeWave(3, 3));
+    fleet.run(3'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    cr_assert_eq(fleet.maintained[0].machine, "m2");
+}
+
+// The platform may list a machine as up that has crashed while it was down for its maintenance.
+Test(planner, a_machine_counts_as_down_until_it_is_back_on_a_new_worker)
+{
+    auto fleet = Fleet(4, stayingPut());
+    for (std::size_t number = 0; number < 4; ++number) {
+        fleet.worker(number).runs = 0;
+    }
+    fleet.planner().setWaves(fleet.now(), makeWave(2, 1));
+    fleet.run(1'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    cr_assert_eq(fleet.maintained[0].machine, "m0");
+    fleet.planner().onMaintained(fleet.now(), fleet.maintained[0],
+                                 {CallOutcome::Done, MachineRefusal::None});
+    fleet.machine(0).state = MachineState::Maintenance;
+    fleet.run(600);
+    fleet.machine(0).state = MachineState::Up;
+    fleet.machine(0).worker = "w0-new"; // Not among the pool's workers: nobody has heard of it.
+    fleet.run(5'000);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    fleet.worker(0).id = "w0-new";
+    fleet.run(1'000);
+    cr_assert_eq(fleet.maintained.size(), 2U);
+}
+
+Test(planner, a_machine_that_isnt_listed_is_not_called_until_it_is_gone)
+{
+    auto fleet = Fleet(4, stayingPut());
+    auto wave = makeWave(2, 2);
+    wave.at("1").machines[1] = "unlisted";
+    fleet.planner().setWaves(fleet.now(), wave);
+    fleet.run(9'000);
     cr_assert(fleet.maintained.empty());
     fleet.run(2'000);
     cr_assert_eq(fleet.maintained.size(), 1U);
+    cr_assert_eq(fleet.maintained[0].machine, "unlisted");
+}
+
+Test(planner, a_wave_slows_down_while_a_pool_misses_machines)
+{
+    auto fleet = Fleet(20);
+    fleet.report().wanted = {2'000'000, 0, 0}; // More than there is.
+    fleet.run(1'000);
+    fleet.planner().setWaves(fleet.now(), makeWave(4, 4)); // In 20 s: one at a time will do.
+    fleet.run(1'000);
+    const auto cordoned = std::ranges::count_if(
+        fleet.report().workers, [](const auto &worker) { return worker.isCordoned; });
+    cr_assert_eq(cordoned, 2);
 }
 
 Test(planner, the_worker_of_a_called_machine_stays_cordoned_after_the_list_has_moved_on)
