A node ends its former life's membership when it starts; weak nodes are a reserve for ownership

Cause: after a kill the partitions of a process waited 2.5 s for the end of a term, though the process that starts at its address shows that it is gone; and the group deals pools to nodes of 0.12 cores as to those of 0.5. Ruled out: member names that outlive a process (a token must stand for one life of a scheduler). Nodes under 0.2 of a core watch the owners, join while partitions have none for 1.5 s, and hand over once a stronger node is there; they don't follow the list of workers.

--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -21,7 +21,6 @@
 auto DirectoryTask::start() -> void
 {
     readOperators();
-    readWorkers();
 }
 
 auto DirectoryTask::readOperators() -> void
@@ -48,8 +47,18 @@
                     });
 }
 
+// The list of workers is the larger part of what is read; nodes that can't become owners do without.
+auto DirectoryTask::setMember(bool isMember) -> void
+{
+    isMember_ = isMember;
+    if (isMember_ && !isReadingWorkers_) {
+        readWorkers();
+    }
+}
+
 auto DirectoryTask::readWorkers() -> void
 {
+    isReadingWorkers_ = true;
     directory_.read(
         DirectorySource::Workers, workersAt_, 0, [this](const absl::StatusOr<DirectoryPage> &page) {
             if (!page.ok()) {
@@ -66,8 +75,14 @@
                 hasWorkers_ = true;
                 apply(DirectorySource::Workers, *page);
             }
-            loop_.post([this] { readWorkers(); },
-                       isOwner_ ? settings_.workersPollMs : settings_.idlePollMs);
+            isReadingWorkers_ = false;
+            loop_.post(
+                [this] {
+                    if (isMember_ && !isReadingWorkers_) {
+                        readWorkers();
+                    }
+                },
+                isOwner_ ? settings_.workersPollMs : settings_.idlePollMs);
         });
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,8 +23,10 @@
 // Another life has another name: it inherits nothing.
 auto makeMember(const NodeSettings &settings) -> std::string
 {
-    auto device = std::random_device();
-    return fmt::format("{}@{}#{:08x}", settings.name, settings.peersAddress, device());
+    auto       device = std::random_device();
+    const auto isReserve = settings.processorShare < settings.ownerMinShare;
+    return fmt::format("{}@{}#{:08x}{}", settings.name, settings.peersAddress, device(),
+                       isReserve ? kReserveMark : "");
 }
 
 auto poolLimits() -> PoolLimits
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,9 @@
     OwnershipSettings ownership;
     PoolSettings      pool;
     PlannerSettings   planner;
+    double            processorShare = 1; // Cores that this process may use.
+    // Owners use up to 0.2 of a core with a burst on 100 workers; nodes with less are a reserve.
+    double            ownerMinShare = 0.2;
     TimeMs            tickMs = 20;          // Retries, batches and due occurrences.
     TimeMs            workersPollMs = 200;  // Reading of workers' reports, by owners of pools.
     TimeMs            idlePollMs = 1'000;   // The same by other nodes.
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -75,9 +75,15 @@
 // The coordinator owns the partition of this name, as an owner owns that of its pool.
 constexpr std::string_view kCoordinatorName = "coordinator";
 
-// Returns the address in a member's name, NODE@ADDRESS#LIFE. Empty if there is none.
+// A member's name is NODE@ADDRESS#LIFE, and ends with kReserveMark if the node is a reserve.
+constexpr std::string_view kReserveMark = "~reserve";
+
+// Returns the address in a member's name. Empty if there is none.
 auto addressOf(std::string_view member) -> std::string;
 
+// Returns whether both names are of one node, in different lives.
+auto isOtherLife(std::string_view member, std::string_view other) -> bool;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Directory task
 //-----------------------------------------------------------------------------
@@ -90,6 +96,7 @@
 
     auto start() -> void;
     auto setOwner(bool isOwner) -> void { isOwner_ = isOwner; } // Of any pool.
+    auto setMember(bool isMember) -> void;                      // Others don't follow workers.
     auto view() const -> const FleetView & { return view_; }
     auto hasCatalog() const -> bool { return view_.catalog.version() > 0; }
     auto hasWorkers() const -> bool { return hasWorkers_; }
@@ -109,6 +116,8 @@
     Offset              workersAt_ = -1;
     bool                hasWorkers_ = false;
     bool                isOwner_ = false;
+    bool                isMember_ = false;
+    bool                isReadingWorkers_ = false;
     bool                areOperatorsLost_ = false;
     bool                areWorkersLost_ = false;
 };
@@ -118,6 +127,9 @@
 //-----------------------------------------------------------------------------
 
 // Renews this node's membership, and knows who owns each partition.
+//
+// A node with a small share of a processor is a reserve: it watches, joins only while partitions have no
+// owner, and leaves once a stronger node is there. A store deals partitions evenly and knows no weights.
 class OwnershipTask
 {
 public:
@@ -133,28 +145,42 @@
     auto memberOf(std::string_view pool) const -> std::string; // Empty: not known.
     auto member() const -> const std::string & { return member_; }
     auto peers() const -> std::vector<std::string>; // Addresses of other members.
+    auto isMember() const -> bool { return isMember_; }
     auto lastRenewedAt() const -> TimeMs { return lastRenewedAt_; }
 
     // Called with what to do once the pools that were lost are handed over.
     std::function<void(std::function<void()>)>  handOverLost;
     sigc::signal<void(const OwnershipChange &)> changed;
     sigc::signal<void(TimeMs)>                  renewed; // The end of the term.
+    sigc::signal<void(bool)>                    memberChanged;
 
 private:
+    using Owners = std::map<std::int64_t, std::string>;
+
+    auto endFormerLife() -> void;
+    auto join() -> void;
     auto renew() -> void;
     auto onRenewed(TimeMs sentAt, const absl::StatusOr<Membership> &membership) -> void;
+    auto noteStore(const absl::Status &status) -> void; // In the log, at changes only.
+    auto watch() -> void;
+    auto onWatched(const Owners &owners) -> void;
+    auto standBack() -> void;
+    auto hasStrongOwner() const -> bool;
 
-    EventLoop                          &loop_;
-    OwnershipGroup                     &group_;
-    const NodeSettings                 &settings_;
-    std::string                         member_;
-    Ownership                           ownership_;
-    std::map<std::int64_t, std::string> owners_;
-    TimeMs                              lastRenewedAt_ = 0;
-    TimeMs                              ownersReadAt_ = 0;
-    bool                                isReadingOwners_ = false;
-    bool                                isLeaving_ = false;
-    bool                                isStoreLost_ = false;
+    EventLoop          &loop_;
+    OwnershipGroup     &group_;
+    const NodeSettings &settings_;
+    std::string         member_;
+    Ownership           ownership_;
+    Owners              owners_;
+    TimeMs              lastRenewedAt_ = 0; // Or watched.
+    TimeMs              ownersReadAt_ = 0;
+    TimeMs              unownedSince_ = -1; // Watched partitions without an owner.
+    bool                isReserve_ = false;
+    bool                isMember_ = false;
+    bool                isReadingOwners_ = false;
+    bool                isLeaving_ = false;
+    bool                isStoreLost_ = false;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -1,11 +1,15 @@
 #include "node/node_internal.h"
 
+#include <algorithm>
+
 namespace peridotwalk {
 
 namespace {
 
 constexpr TimeMs kOwnersGapMs = 100;  // Least time between two readings of the owners.
 constexpr TimeMs kRenewRetryMs = 150; // After a renewal that failed.
+constexpr TimeMs kWatchMs = 1'000;    // Of a reserve. Each look is a priced call.
+constexpr TimeMs kUnownedMs = 1'500;  // Members need that long to join when all start together.
 
 } // namespace
 
@@ -16,18 +20,50 @@
 OwnershipTask::OwnershipTask(EventLoop &loop, OwnershipGroup &group, const NodeSettings &settings,
                              std::string member)
     : loop_(loop), group_(group), settings_(settings), member_(std::move(member)),
-      ownership_(settings.ownership)
+      ownership_(settings.ownership), isReserve_(member_.ends_with(kReserveMark))
 {
 }
 
 auto OwnershipTask::start() -> void
 {
+    endFormerLife();
+}
+
+// The process that had this node's address before is gone for sure: its partitions needn't wait for the
+// end of its term.
+auto OwnershipTask::endFormerLife() -> void
+{
+    group_.owners([this](const absl::StatusOr<Owners> &owners) {
+        auto former = std::set<std::string>();
+        for (const auto &[partition, member] : owners.value_or(Owners())) {
+            if (isOtherLife(member, member_)) {
+                former.insert(member);
+            }
+        }
+        for (const auto &member : former) {
+            group_.leave(member, [member](bool isDone) {
+                logEvent(LogLevel::Info, "ownership.former_life",
+                         {{"member", member}, {"done", isDone}});
+            });
+        }
+        if (isReserve_) {
+            watch();
+        } else {
+            join();
+        }
+    });
+}
+
+auto OwnershipTask::join() -> void
+{
+    isMember_ = true;
+    memberChanged.emit(true);
     renew();
 }
 
 auto OwnershipTask::renew() -> void
 {
-    if (isLeaving_) {
+    if (isLeaving_ || !isMember_) {
         return;
     }
     const auto sentAt = bootMs();
@@ -37,25 +73,30 @@
                 });
 }
 
+auto OwnershipTask::noteStore(const absl::Status &status) -> void
+{
+    if (!status.ok() && !std::exchange(isStoreLost_, true)) {
+        logEvent(
+            LogLevel::Warning, "store.lost",
+            {{"error", status.ToString()}, {"term_left_ms", ownership_.termUntil() - bootMs()}});
+    }
+    if (status.ok() && std::exchange(isStoreLost_, false)) {
+        logEvent(LogLevel::Info, "store.regained", {{"generation", ownership_.generation()}});
+    }
+}
+
 auto OwnershipTask::onRenewed(TimeMs sentAt, const absl::StatusOr<Membership> &membership) -> void
 {
-    if (isLeaving_) {
+    if (isLeaving_ || !isMember_) {
         return;
     }
+    noteStore(membership.status());
     if (!membership.ok()) {
-        if (!std::exchange(isStoreLost_, true)) {
-            logEvent(LogLevel::Warning, "store.lost",
-                     {{"error", membership.status().ToString()},
-                      {"term_left_ms", ownership_.termUntil() - bootMs()}});
-        }
         loop_.post([this] { renew(); }, kRenewRetryMs);
         return;
     }
     const auto now = bootMs();
     lastRenewedAt_ = now;
-    if (std::exchange(isStoreLost_, false)) {
-        logEvent(LogLevel::Info, "store.regained", {{"generation", membership->generation}});
-    }
     const auto isNewGeneration = membership->generation != ownership_.generation();
     const auto change = ownership_.onRenewed(sentAt, now, *membership);
     if (isNewGeneration) {
@@ -69,8 +110,10 @@
         changed.emit(change);
     }
     renewed.emit(ownership_.termUntil());
-    if (isNewGeneration) {
+    if (isNewGeneration || isReserve_) {
         refreshOwners();
+    }
+    if (isNewGeneration) {
         // Naming the new generation is what lets others take what it no longer lists.
         handOverLost([this] { renew(); });
         return;
@@ -78,6 +121,61 @@
     loop_.post([this] { renew(); }, settings_.ownership.renewMs);
 }
 
+// Looks for partitions that nobody owns.
+auto OwnershipTask::watch() -> void
+{
+    if (isLeaving_ || isMember_) {
+        return;
+    }
+    group_.owners([this](const absl::StatusOr<Owners> &owners) {
+        noteStore(owners.status());
+        if (owners.ok()) {
+            lastRenewedAt_ = bootMs();
+            owners_ = *owners;
+            onWatched(*owners);
+        }
+        loop_.post([this] { watch(); }, kWatchMs);
+    });
+}
+
+auto OwnershipTask::onWatched(const Owners &owners) -> void
+{
+    const auto now = bootMs();
+    if (std::ssize(owners) >= settings_.ownership.partitions) {
+        unownedSince_ = -1;
+    } else if (unownedSince_ < 0) {
+        unownedSince_ = now;
+    } else if (now - unownedSince_ >= kUnownedMs && !isLeaving_) {
+        unownedSince_ = -1;
+        logEvent(LogLevel::Info, "ownership.reserve_joins", {{"owned", owners.size()}});
+        join();
+    }
+}
+
+auto OwnershipTask::hasStrongOwner() const -> bool
+{
+    return std::ranges::any_of(owners_, [](const auto &item) {
+        return !item.second.empty() && !item.second.ends_with(kReserveMark);
+    });
+}
+
+// Hands everything over to the stronger nodes that are there now, and watches on.
+auto OwnershipTask::standBack() -> void
+{
+    logEvent(LogLevel::Info, "ownership.reserve_stands_back",
+             {{"held", ownership_.tokens().size()}});
+    isMember_ = false;
+    const auto change = ownership_.leave();
+    handOverLost([this, change] {
+        changed.emit(change);
+        memberChanged.emit(false);
+        group_.leave(member_, [this](bool isDone) {
+            logEvent(LogLevel::Info, "ownership.left", {{"done", isDone}});
+            watch();
+        });
+    });
+}
+
 auto OwnershipTask::beginLeave() -> void
 {
     isLeaving_ = true;
@@ -105,6 +203,9 @@
         if (owners.ok()) {
             owners_ = *owners;
         }
+        if (isReserve_ && isMember_ && !isLeaving_ && hasStrongOwner()) {
+            standBack();
+        }
     });
 }
 
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -293,6 +293,7 @@
         }
     });
     ownership.changed.connect([this](const OwnershipChange &) { refresh(); });
+    ownership.memberChanged.connect([this](bool isMember) { directory_.setMember(isMember); });
     ownership.handOverLost = [this](std::function<void()> done) {
         handOver(false, std::move(done));
     };
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -22,6 +22,12 @@
     return std::string(member.substr(at + 1, hash - at - 1));
 }
 
+auto isOtherLife(std::string_view member, std::string_view other) -> bool
+{
+    const auto nodeOf = [](std::string_view name) { return name.substr(0, name.find('#')); };
+    return member != other && nodeOf(member) == nodeOf(other);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Router task
 //-----------------------------------------------------------------------------
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -9,6 +9,7 @@
 
 constexpr TimeMs       kMaxMs = 86'400'000;
 constexpr std::int64_t kMaxPartitions = 4'096;
+constexpr std::int64_t kMaxCores = 1'024;
 
 auto readListen(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
 {
@@ -62,6 +63,17 @@
     reader.integer("retry_after_ms", settings.retryAfterMs, 0, kMaxMs);
 }
 
+auto readProcessor(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
+{
+    auto reader = ObjectReader(root.child("processor", false), root.pathOf("processor"), errors);
+    auto share = 1.0;
+    std::int64_t cores = 1;
+    reader.fraction("share", share);
+    reader.integer("cores", cores, 1, kMaxCores);
+    reader.fraction("owner_min_share", settings.ownerMinShare);
+    settings.processorShare = share * static_cast<double>(cores);
+}
+
 auto readRoot(const Json &json, ParsedNodeSettings &parsed) -> void
 {
     auto &settings = parsed.settings;
@@ -74,6 +86,7 @@
     readServices(root, settings, errors);
     readWorkers(root, settings, errors);
     readCallers(root, settings, errors);
+    readProcessor(root, settings, errors);
     root.integer("tick_ms", settings.tickMs, 1, 1'000);
     root.integer("stop_linger_ms", settings.stopLingerMs, 0, kMaxMs);
 }
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -35,20 +35,22 @@
     auto join(const std::string & /*member*/, std::int64_t /*generation*/, TimeMs /*ttlMs*/,
               JoinSlot slot) -> void override
     {
+        ++joins;
         auto membership = Membership{generation, {}};
         for (std::int64_t partition = 0; partition < 16; ++partition) {
             membership.partitions.insert(partition);
         }
         loop_.post([slot, membership] { slot(membership); });
     }
-    auto leave(const std::string & /*member*/, std::function<void(bool)> slot) -> void override
+    auto leave(const std::string &member, std::function<void(bool)> slot) -> void override
     {
+        left.push_back(member);
         hasLeft = true;
         loop_.post([slot] { slot(true); });
     }
     auto owners(OwnersSlot slot) -> void override
     {
-        loop_.post([slot] { slot(std::map<std::int64_t, std::string>()); });
+        loop_.post([this, slot] { slot(dealt); });
     }
     auto read(DirectorySource source, Offset from, TimeMs /*waitMs*/, PageSlot slot)
         -> void override
@@ -92,24 +94,37 @@
     std::vector<JournalWriter> fences;
     std::vector<JournalWriter> appends;
     bool                       hasLeft = false;
+    int                        joins = 0;
+    std::vector<std::string>   left;
+
+    std::map<std::int64_t, std::string> dealt; // What owners() tells.
 
 private:
     EventLoop &loop_;
 };
 
 struct NodeFixture {
-    NodeFixture()
-        : store(loop), directory(loop, store, settings),
-          ownership(loop, store, settings, "n@127.0.0.1:1#1"),
+    explicit NodeFixture(const std::string &member = "n@127.0.0.1:1#1")
+        : store(loop), directory(loop, store, settings), ownership(loop, store, settings, member),
           pools(loop, {store, store}, settings, directory, ownership)
     {
         configureLog({"test", -1});
         directory.start();
-        ownership.start();
+    }
+
+    // Every partition belongs to one member.
+    auto deal(const std::string &member) -> void
+    {
+        for (std::int64_t partition = 0; partition < settings.ownership.partitions; ++partition) {
+            store.dealt[partition] = member;
+        }
     }
 
     auto run(TimeMs ms) -> void
     {
+        if (!std::exchange(isStarted, true)) {
+            ownership.start();
+        }
         loop.post([this] { loop.stop(); }, ms);
         loop.run();
     }
@@ -120,6 +135,7 @@
     DirectoryTask directory;
     OwnershipTask ownership;
     PoolsTask     pools;
+    bool          isStarted = false;
 };
 
 } // namespace
@@ -149,3 +165,36 @@
     cr_assert_eq(node.pools.pools().size(), 1U);
     cr_assert_eq(node.pools.pools().at("pool")->identity().token, 5);
 }
+
+// Its partitions would otherwise wait for the end of a term that nobody uses.
+Test(node, ends_its_former_life_at_the_start)
+{
+    auto node = NodeFixture();
+    node.deal("n@127.0.0.1:1#0");
+    node.store.dealt[3] = "n2@127.0.0.1:2#7";
+    node.run(100);
+    cr_assert_eq(node.store.left.size(), 1U);
+    cr_assert_eq(node.store.left[0], "n@127.0.0.1:1#0");
+    cr_assert_gt(node.store.joins, 0);
+}
+
+Test(node, a_reserve_joins_only_while_partitions_have_no_owner)
+{
+    auto node = NodeFixture("n@127.0.0.1:1#1~reserve");
+    node.deal("n2@127.0.0.1:2#7");
+    node.run(3'500);
+    cr_assert_eq(node.store.joins, 0);
+    node.store.dealt.clear();
+    node.run(3'500);
+    cr_assert_gt(node.store.joins, 0);
+    cr_assert_eq(node.pools.pools().size(), 1U);
+    // A stronger node is back.
+    node.deal("n2@127.0.0.1:2#8");
+    node.ownership.refreshOwners();
+    node.run(500);
+    cr_assert(node.pools.pools().empty());
+    cr_assert_eq(node.store.left.size(), 1U);
+    const auto joins = node.store.joins;
+    node.run(1'500);
+    cr_assert_eq(node.store.joins, joins);
+}
