Runs on a worker that a node never saw aren't over at once; owners that don't see workers' entries give no leases

It counted them as missing since its own start, so their runs as over; their leases lapsed 2.5 s later. The same bound also assumed that an owner sees within 2 s that an entry went, which one without the store doesn't. Ruled out: a listing that lacks a run (the new owner hadn't reached the workers), another life at the address. Now: a worker that was never seen is bound by the former owner's limits; owners extend leases and start runs only with workers' entries read at most 5.5 s ago, the time in which the bound now counts on it.

--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -91,12 +91,14 @@
     auto former = std::map<std::string, WorkerReport>();
     if (page.isWhole && source == DirectorySource::Workers) {
         former.swap(view_.workers);
-        view_.since = view_.since == 0 ? bootMs() : view_.since;
     }
     if (page.isWhole && source == DirectorySource::Operators) {
         view_.evacuatedZones.clear();
         view_.waves.clear();
     }
+    if (page.isCurrent && source == DirectorySource::Workers) {
+        view_.readAt = bootMs();
+    }
     for (const auto &change : page.changes) {
         if (const auto *worker = std::get_if<WorkerChanged>(&change)) {
             if (worker->report) {
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -145,7 +145,7 @@
 {
     const auto isDue = nextDueMs_ > 0 && now.wallMs >= nextDueMs_;
     const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
-    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || now.steadyMs >= termUntil_
+    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || !mayOrder(now)
         || now.steadyMs < scheduleAt_) {
         return;
     }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -14,10 +14,10 @@
 // [SECTION] Fleet view
 //-----------------------------------------------------------------------------
 
-auto FleetView::missingSince(const std::string &worker) const -> TimeMs
+auto FleetView::missingSince(const std::string &worker) const -> std::optional<TimeMs>
 {
     const auto found = removed.find(worker);
-    return found == removed.end() ? since : found->second;
+    return found == removed.end() ? std::nullopt : std::optional(found->second);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -41,13 +41,14 @@
     TimeMs orderRetryMs = 300;  // After an order without an answer.
     TimeMs caretakerMs = 3'000; // An owner without the store extends leases that much longer.
     TimeMs cordonPatienceMs = 5'000; // Timed tasks on a worker that is emptied may go on that long.
-    TimeMs missingMs = 2'000;        // All nodes see within that that a worker's entry went.
-    TimeMs flushGapMs = 10;          // Least time between appends. Batches changes.
-    TimeMs scheduleGapMs = 5;        // Least time between rounds of placement, with no jobs.
-    TimeMs journalStallMs = 600;     // New jobs are refused while an append is older than that.
-    TimeMs avoidMs = 3'000;          // A worker that failed several runs in a row rests that long.
-    int    maxFailuresInRow = 3;     // Of one worker before it rests.
-    int    maxStartAttempts = 4;     // Unanswered starts before the run is stopped.
+    // An owner that hasn't read workers' entries for that long extends no leases: a term and caretaking.
+    TimeMs staleViewMs = 5'500;
+    TimeMs flushGapMs = 10;      // Least time between appends. Batches changes.
+    TimeMs scheduleGapMs = 5;    // Least time between rounds of placement, with no jobs.
+    TimeMs journalStallMs = 600; // New jobs are refused while an append is older than that.
+    TimeMs avoidMs = 3'000;      // A worker that failed several runs in a row rests that long.
+    int    maxFailuresInRow = 3; // Of one worker before it rests.
+    int    maxStartAttempts = 4; // Unanswered starts before the run is stopped.
 };
 
 //-----------------------------------------------------------------------------
@@ -59,12 +60,13 @@
     Catalog                             catalog;
     std::set<std::string>               evacuatedZones;
     std::map<std::string, WaveOrder>    waves;
-    std::map<std::string, WorkerReport> workers;   // By id.
-    std::map<std::string, TimeMs>       removed;   // Workers whose entry went, and when.
-    TimeMs                              since = 0; // Workers are known from then on.
+    std::map<std::string, WorkerReport> workers;    // By id.
+    std::map<std::string, TimeMs>       removed;    // Workers whose entry went, and when.
+    TimeMs                              readAt = 0; // All of their entries were, last.
 
-    // Returns since when a worker isn't listed, as far as is known here.
-    auto missingSince(const std::string &worker) const -> TimeMs;
+    // Returns since when a worker isn't listed. Nothing: its entry was never seen here, perhaps because
+    // this node lags behind.
+    auto missingSince(const std::string &worker) const -> std::optional<TimeMs>;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -165,6 +165,8 @@
     auto extendLease(Moment now, Worker &worker) -> TimeMs;
     auto lapsedBy(const Worker &worker) const -> TimeMs;
     auto setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
+    auto mayOrder(Moment now) const -> bool;
+    auto isViewFresh(Moment now) const -> bool;
     auto isUsable(Moment now, const Worker &worker) const -> bool; // For new runs.
     auto mayStartOn(const Worker &worker) const -> bool;           // For runs already placed.
 
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -71,6 +71,17 @@
         && !view_.evacuatedZones.contains(worker.report.zone);
 }
 
+// Leases are given only by an owner in its term that sees which workers are gone.
+auto PoolScheduler::State::mayOrder(Moment now) const -> bool
+{
+    return now.steadyMs < termUntil_ && isViewFresh(now);
+}
+
+auto PoolScheduler::State::isViewFresh(Moment now) const -> bool
+{
+    return now.steadyMs - view_.readAt < settings_.staleViewMs;
+}
+
 auto PoolScheduler::State::setClock(Moment now, Worker &worker, TimeMs clockMs) -> void
 {
     if (clockMs > 0) {
@@ -89,12 +100,13 @@
             return ownedSince_ + note_->lapsesIn.at(worker.peer.id);
         }
         // The former owner may have extended leases until its own limit; but no owner extends those
-        // of a worker whose entry it has seen go.
+        // of a worker whose entry it has seen go, or when it can't see them.
         const auto byOwner = ownedSince_ + settings_.caretakerMs + lease;
-        if (worker.isListed) {
+        const auto missingSince = view_.missingSince(worker.peer.id);
+        if (worker.isListed || !missingSince) {
             return byOwner;
         }
-        return std::min(byOwner, view_.missingSince(worker.peer.id) + settings_.missingMs + lease);
+        return std::min(byOwner, *missingSince + settings_.staleViewMs + lease);
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
     return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
@@ -170,7 +182,7 @@
     if (run.run != effect.run || run.isSent) {
         return;
     }
-    if (run.isStopping || !mayStartOn(worker) || now.steadyMs >= termUntil_) {
+    if (run.isStopping || !mayStartOn(worker) || !mayOrder(now)) {
         abandon(now, worker, effect.task, "not startable any more");
         return;
     }
@@ -323,7 +335,7 @@
     }
     const auto mayExtend = !note_ || isNoteDropped_;
     if (mayExtend && worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
-        && now.steadyMs < termUntil_ + settings_.caretakerMs) {
+        && isViewFresh(now) && now.steadyMs < termUntil_ + settings_.caretakerMs) {
         hold.order.leaseUntilMs = extendLease(now, worker);
     }
     worker.isHoldOut = true;
@@ -491,7 +503,7 @@
         auto &run = worker.runs.at(ref);
         if (run.isStopping) {
             sendStop(worker, ref, run);
-        } else if (now.steadyMs < termUntil_ && mayStartOn(worker)) {
+        } else if (mayOrder(now) && mayStartOn(worker)) {
             sendStart(now, worker, ref, run);
         } else if (!mayStartOn(worker)) {
             requestStop(now, worker, ref);
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -132,8 +132,9 @@
 
 struct DirectoryPage {
     std::vector<DirectoryChange> changes;
-    bool                         isWhole = false; // Replaces everything known from this source.
-    Offset                       next = 0;        // Where to read on.
+    bool                         isWhole = false;   // Replaces everything known from this source.
+    bool                         isCurrent = false; // Nothing newer was there.
+    Offset                       next = 0;          // Where to read on.
 };
 
 enum class DirectorySource { Operators, Workers };
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -31,6 +31,7 @@
 
     WorkerReport                    report;
     bool                            isUp = true;
+    bool                            isCut = false; // Runs on, and no owner reaches it.
     TimeMs                          bornAt = 0;
     std::int64_t                    token = 0;
     TimeMs                          leaseUntil = 0; // On its own clock.
@@ -54,6 +55,8 @@
     auto handOver() -> void; // The owner gives the pool up as planned, and a new one follows.
     auto run(TimeMs ms) -> void;
     auto direct(const PoolDirection &direction) -> void;
+    auto cut(const std::string &worker) -> void { workers_.at(worker).isCut = true; }
+    auto setViewStale(bool isStale) -> void { isViewStale_ = isStale; }
     auto setStoreDown(bool isDown) -> void { isStoreDown_ = isDown; }
     auto changeView(const std::function<void(FleetView &)> &change) -> void;
 
@@ -66,6 +69,7 @@
     auto doneEnds(const TaskRef &task) const -> int;
     auto starts(const TaskRef &task) const -> int;
     auto isRunning(const TaskRef &task) const -> bool;
+    auto isRunningOn(const TaskRef &task) const -> std::string; // Empty: nowhere.
 
     std::function<std::string(const StartOrder &)>
         startGuard; // A text refuses, as a broken promise.
@@ -113,6 +117,7 @@
     std::map<TaskRef, int>   starts_;
     std::vector<std::string> broken_;
     bool                     isStoreDown_ = false;
+    bool                     isViewStale_ = false; // Workers' entries aren't read.
 };
 
 // A step of `count` tasks that take `estimateMs` on one core each.
