--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -86,15 +86,12 @@
 //-----------------------------------------------------------------------------
 
 struct ForecastSettings {
-    double risePart = 0.2;      // Of the last peak: a burst begins where demand exceeds it.
-    TimeMs quietMs = 2'000;     // Demand was below that before, for at least this long.
-    TimeMs minPeriodMs = 6'000; // Shorter distances between bursts aren't a period.
-    TimeMs leadMs = 2'300;      // Room is asked for that long ahead. A move takes 1.5 s.
-    TimeMs overdueMs = 1'500;   // An expected burst that hasn't come by then isn't waited for.
-    TimeMs risingMs = 2'500;    // So long a burst is expected to grow.
+    double risePart = 0.2;   // Of the last peak: a burst begins where demand exceeds it.
+    TimeMs quietMs = 2'000;  // Demand was below that before, for at least this long.
+    TimeMs risingMs = 2'500; // So long a burst is expected to grow.
 };
 
-// Learns when the bursts of one pool's demand come, and how high they are.
+// Sees when bursts of one pool's demand begin, and how high they get.
 class DemandForecast
 {
 public:
@@ -104,18 +101,14 @@
     auto add(TimeMs now, std::int64_t demandCpu, std::int64_t leastCpu) -> void; // Of a burst.
 
     // Queries.
-    auto period() const -> std::optional<TimeMs>; // Between the last two bursts.
-    auto isRising(TimeMs now) const -> bool;      // A burst has just begun.
-    auto peak() const -> std::int64_t;            // Highest demand of the last bursts.
-    // Returns the demand to make room for now, with the period of this or another pool.
-    auto expected(TimeMs now, std::optional<TimeMs> period) const -> std::int64_t;
+    auto isRising(TimeMs now) const -> bool; // A burst has just begun.
+    auto peak() const -> std::int64_t;       // Highest demand of the last bursts.
 
 private:
     ForecastSettings settings_;
     TimeMs           lowSince_ = -1;
-    TimeMs           burstAt_ = -1;     // Start of the last burst.
-    TimeMs           burstBefore_ = -1; // Start of the one before.
-    std::int64_t     peak_ = 0;         // Of the last burst.
+    TimeMs           burstAt_ = -1; // Start of the last burst.
+    std::int64_t     peak_ = 0;     // Of the last burst.
     std::int64_t     peakBefore_ = 0;
     bool             isHigh_ = false;
 };
@@ -154,13 +147,13 @@
     TimeMs       settleMs = 6'000;   // A machine that was called counts as away until listed again.
     TimeMs       calledMs = 12'000;  // The worker of a machine that was called gets no new runs.
     TimeMs       lendMs = 300;       // A machine is idle that long before another pool gets it,
-    TimeMs       surplusMs = 2'000;  // and that long before it is set aside.
+    TimeMs       surplusMs = 900;    // and that long before it is set aside.
     TimeMs       blockedMs = 500;    // Ready tasks that wait that long get another machine.
     double       spareFactor = 1.15; // Room kept over what a pool asks for.
     double       risingFactor = 2.0; // A burst that begins is taken to grow so much at least.
     double       burstMachines = 2.0; // Less demand than of that many machines is no burst.
     std::int64_t minMachines = 3;     // Of each pool.
-    double       floorPart = 0.5;     // Of an even split of all machines: none is set aside below.
+    double       floorPart = 0.42;    // Of an even split of all machines: none is set aside below.
     double       lendFloorPart = 0.3; // The same: none is lent to another pool below.
     double       maxCordoned = 0.34;  // Part of a pool that maintenance takes at once.
     bool         isMoving = true;     // Moves machines between pools.
@@ -268,13 +261,10 @@
         std::int64_t surplus = 0;  // Better set aside.
     };
 
-    auto balanceOf(TimeMs now, const std::string &name, const Pool &pool,
-                   std::optional<TimeMs> period) const -> Balance;
-    auto desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
-                         std::optional<TimeMs> period) const -> std::int64_t;
+    auto balanceOf(TimeMs now, const std::string &name, const Pool &pool) const -> Balance;
+    auto desiredMachines(TimeMs now, const Pool &pool, std::int64_t have) const -> std::int64_t;
     auto chooseNeedy(const std::map<std::string, Balance> &balances, const Machine &machine) const
         -> std::string;
-    auto sharedPeriod() const -> std::optional<TimeMs>;
     auto sharedPeak() const -> std::int64_t;
     auto findIdle(TimeMs now) -> std::vector<Machine *>;
     auto countCordoned(std::string_view pool) const -> std::int64_t;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -338,17 +338,6 @@
 // [SECTION] Machine planner: moves
 //-----------------------------------------------------------------------------
 
-// Pools that take turns share a period, so one pool's tells when the others' bursts return.
-auto MachinePlanner::sharedPeriod() const -> std::optional<TimeMs>
-{
-    for (const auto &[name, pool] : pools_) {
-        if (const auto period = pool.forecast.period()) {
-            return period;
-        }
-    }
-    return std::nullopt;
-}
-
 // Bursts of pools that take turns are alike.
 auto MachinePlanner::sharedPeak() const -> std::int64_t
 {
@@ -359,8 +348,8 @@
     return peak;
 }
 
-auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have,
-                                     std::optional<TimeMs> period) const -> std::int64_t
+auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have) const
+    -> std::int64_t
 {
     const auto &unit = pool.report.perWorker;
     if (unit.cpu <= 0 || unit.memoryMb <= 0) {
@@ -379,7 +368,6 @@
             static_cast<std::int64_t>(settings_.risingFactor * static_cast<double>(timed));
         timed = std::max(grown, sharedPeak());
     }
-    timed = std::max(timed, pool.forecast.expected(now, period));
     const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
         return static_cast<std::int64_t>(std::ceil(
             static_cast<double>(amount) * settings_.spareFactor / static_cast<double>(of)));
@@ -393,14 +381,14 @@
 }
 
 // A pool keeps enough to go on by itself while there is no coordinator.
-auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool,
-                               std::optional<TimeMs> period) const -> Balance
+auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool) const
+    -> Balance
 {
     const auto even = static_cast<double>(machines_.size())
         / static_cast<double>(std::max<std::size_t>(1, active_.size()));
     const auto part = [&](double of) { return static_cast<std::int64_t>(of * even); };
     const auto have = countUsable(now, name);
-    const auto desired = desiredMachines(now, pool, have, period);
+    const auto desired = desiredMachines(now, pool, have);
     auto       balance = Balance{};
     balance.missing = std::max<std::int64_t>(0, desired - have);
     balance.lendable =
@@ -455,11 +443,10 @@
 // Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
 auto MachinePlanner::planMoves(TimeMs now) -> void
 {
-    auto       balances = std::map<std::string, Balance>();
-    const auto period = sharedPeriod();
+    auto balances = std::map<std::string, Balance>();
     for (const auto &[name, pool] : pools_) {
         if (active_.contains(name) && now - pool.reportedAt <= settings_.reportFreshMs) {
-            balances[name] = balanceOf(now, name, pool, period);
+            balances[name] = balanceOf(now, name, pool);
         }
     }
     for (auto *machine : findIdle(now)) {
