Serve counters, latency histograms and gauges on the node's metrics address

Calls, appends, orders and takeovers with their outcomes and times; decisions by event, those included whose lines the log dropped; what the node believes (rules' version, workers, pools owned, room) read when somebody asks. vav score with it 0.691 (0.653 and 0.711 before): no change beyond noise; gate passed.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -20,6 +20,7 @@
     double       tokens = 0;
     std::int64_t filledAt = 0; // Wall clock, ms.
     std::int64_t dropped = 0;  // Since the last line that was let through.
+    std::int64_t seen = 0;     // Lines, dropped ones included.
 };
 
 struct Output {
@@ -94,9 +95,11 @@
 {
     auto found = out.buckets.find(event);
     if (found == out.buckets.end()) {
-        found = out.buckets.emplace(std::string(event), Bucket{out.settings.burst, now, 0}).first;
+        found =
+            out.buckets.emplace(std::string(event), Bucket{out.settings.burst, now, 0, 0}).first;
     }
-    auto      &bucket = found->second;
+    auto &bucket = found->second;
+    ++bucket.seen;
     const auto passed = static_cast<double>(std::max<std::int64_t>(0, now - bucket.filledAt));
     bucket.tokens = std::min(out.settings.burst,
                              bucket.tokens + passed / kMsPerSecond * out.settings.linesPerSecond);
@@ -194,6 +197,15 @@
     }
 }
 
+auto countEvents() -> std::map<std::string, std::int64_t, std::less<>>
+{
+    auto counts = std::map<std::string, std::int64_t, std::less<>>();
+    for (const auto &[event, bucket] : output().buckets) {
+        counts[event] = bucket.seen;
+    }
+    return counts;
+}
+
 auto logCounts() -> LogCounts
 {
     return output().counts;
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -77,5 +77,6 @@
     std::int64_t dropped = 0; // By a bucket or a full buffer.
 };
 auto logCounts() -> LogCounts;
+auto countEvents() -> std::map<std::string, std::int64_t, std::less<>>; // Dropped ones included.
 
 } // namespace peridotwalk
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -15,19 +15,37 @@
 constexpr TimeMs kSecondMs = 1'000;
 constexpr TimeMs kReadyStoreMs = 2'500; // A node without the store for longer isn't ready.
 
+auto verbName(CallerVerb verb) -> std::string
+{
+    switch (verb) {
+    case CallerVerb::Submit:
+        return "submit";
+    case CallerVerb::Query:
+        return "query";
+    case CallerVerb::Cancel:
+        return "cancel";
+    case CallerVerb::CountPending:
+        return "count_pending";
+    case CallerVerb::Other:
+        break;
+    }
+    return "other";
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
 // [SECTION] Caller task
 //-----------------------------------------------------------------------------
 
-JobCallerTask::JobCallerTask(EventLoop &loop, const NodeSettings &settings,
+JobCallerTask::JobCallerTask(EventLoop &loop, const NodeSettings &settings, NodeMetrics &metrics,
                              DirectoryTask &directory, OwnershipTask &ownership, RouterTask &router)
-    : settings_(settings), directory_(directory), ownership_(ownership), router_(router),
-      server_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes}),
+    : settings_(settings), metrics_(metrics), directory_(directory), ownership_(ownership),
+      router_(router), server_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes}),
       readyServer_(loop, {settings.maxHeaderBytes, settings.maxBodyBytes})
 {
     server_.requestArrived.connect([this](const HttpRequest &request) { onRequest(request); });
+    server_.callerGone.connect([this](ExchangeId id) { calls_.erase(id); });
     readyServer_.requestArrived.connect([this](const HttpRequest &request) {
         readyServer_.reply(request.id, {isReady() ? kOk : kUnavailable, "text/plain", "", {}});
     });
@@ -58,7 +76,15 @@
 
 auto JobCallerTask::answer(ExchangeId id, int status, std::string body) -> void
 {
-    auto reply = HttpReply{status, "application/json", std::move(body), {}};
+    send(id, {status, "application/json", std::move(body), {}});
+}
+
+auto JobCallerTask::send(ExchangeId id, HttpReply reply) -> void
+{
+    if (const auto call = calls_.find(id); call != calls_.end()) {
+        metrics_.addCall(call->second.verb, reply.status, bootMs() - call->second.arrivedAt);
+        calls_.erase(call);
+    }
     if (isStopping_) {
         reply.headers["Connection"] = "close";
     }
@@ -72,19 +98,17 @@
     if (retryAfterMs > 0) {
         reply.headers["Retry-After"] = std::to_string((retryAfterMs + kSecondMs - 1) / kSecondMs);
     }
-    if (isStopping_) {
-        reply.headers["Connection"] = "close";
-    }
-    server_.reply(id, reply);
+    send(id, std::move(reply));
 }
 
 auto JobCallerTask::onRequest(const HttpRequest &request) -> void
 {
+    const auto call = readCallerCall(request);
+    calls_[request.id] = {verbName(call.verb), bootMs()};
     if (!directory_.hasCatalog()) {
         refuse(request.id, kUnavailable, "no rules are known yet", settings_.retryAfterMs);
         return;
     }
-    const auto  call = readCallerCall(request);
     const auto &catalog = directory_.view().catalog;
     const auto *queue = catalog.findQueue(call.host, call.path);
     if (queue == nullptr) {
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,96 @@
+// Counters, latency histograms and gauges of a node, in Prometheus' text format. Only for the sources of
+// this library. docs/OPERATIONS.md lists them.
+//
+// Index of this file
+// [SECTION] Node metrics
+// [SECTION] Metered services
+// [SECTION] Metrics task
+
+#pragma once
+
+#include "http/http.h"
+#include "services/services.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace peridotwalk {
+
+class OwnershipTask;
+class DirectoryTask;
+class PoolsTask;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Node metrics
+//-----------------------------------------------------------------------------
+
+// What is counted as it happens. Labels come from small fixed sets, or name pools and events.
+class NodeMetrics
+{
+public:
+    NodeMetrics();
+
+    // Commands. Durations are in ms here and in seconds outside.
+    auto addCall(const std::string &verb, int status, TimeMs tookMs) -> void;
+    auto addAppend(CallOutcome outcome, TimeMs tookMs) -> void;
+    auto addOrder(const std::string &order, CallOutcome outcome, TimeMs tookMs) -> void;
+    auto addTakeover(TimeMs tookMs) -> void;
+    auto setGauge(const std::string &name, const std::string &help,
+                  const prometheus::Labels &labels, double value) -> void;
+
+    // Queries.
+    auto collect() const -> std::string; // The text that is served.
+
+private:
+    using Counters = prometheus::Family<prometheus::Counter>;
+    using Histograms = prometheus::Family<prometheus::Histogram>;
+
+    auto observe(Histograms &family, const prometheus::Labels &labels, TimeMs tookMs) -> void;
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    Counters                             &calls_;
+    Counters                             &appends_;
+    Counters                             &orders_;
+    Histograms                           &callSeconds_;
+    Histograms                           &appendSeconds_;
+    Histograms                           &orderSeconds_;
+    Histograms                           &takeoverSeconds_;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Metered services
+//-----------------------------------------------------------------------------
+
+// Pass everything on and note outcomes and times.
+auto meterJournal(JournalStore &journal, NodeMetrics &metrics) -> std::unique_ptr<JournalStore>;
+auto meterWorkers(WorkerService &workers, NodeMetrics &metrics) -> std::unique_ptr<WorkerService>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Metrics task
+//-----------------------------------------------------------------------------
+
+// Serves GET /metrics. Gauges are read from the tasks when somebody asks.
+class MetricsTask
+{
+public:
+    MetricsTask(EventLoop &loop, NodeMetrics &metrics, DirectoryTask &directory,
+                OwnershipTask &ownership, PoolsTask &pools);
+
+    auto listen(const std::string &address) -> absl::Status; // Empty: nothing is served.
+    auto port() const -> std::uint16_t { return server_.port(); }
+
+private:
+    auto readGauges() -> void;
+    auto readPools() -> void;
+
+    NodeMetrics   &metrics_;
+    DirectoryTask &directory_;
+    OwnershipTask &ownership_;
+    PoolsTask     &pools_;
+    HttpServer     server_;
+};
+
+} // namespace peridotwalk
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,20 +50,25 @@
           machines_(makeMachineService(connections_, settings_.platform)),
           directory_(loop_, *directoryService_, settings_),
           ownership_(loop_, *group_, settings_, makeMember(settings_)),
-          pools_(loop_, {*journal_, *workers_}, settings_, directory_, ownership_),
+          meteredJournal_(meterJournal(*journal_, metrics_)),
+          meteredWorkers_(meterWorkers(*workers_, metrics_)),
+          pools_(loop_, {*meteredJournal_, *meteredWorkers_, &metrics_}, settings_, directory_,
+                 ownership_),
           router_(loop_, connections_, settings_, pools_, ownership_),
-          coordinator_(loop_, {*journal_, *machines_, *directoryService_}, settings_, directory_,
-                       ownership_),
+          coordinator_(loop_, {*meteredJournal_, *machines_, *directoryService_}, settings_,
+                       directory_, ownership_),
           reporter_(loop_, connections_, settings_, pools_, coordinator_, ownership_),
           peers_(loop_, settings_, connections_, pools_, coordinator_),
-          callers_(loop_, settings_, directory_, ownership_, router_)
+          callers_(loop_, settings_, metrics_, directory_, ownership_, router_),
+          metricsServer_(loop_, metrics_, directory_, ownership_, pools_)
     {
         store_.setPeers([this] { return ownership_.peers(); });
     }
 
     auto run() -> int
     {
-        for (const auto &status : {peers_.listen(), callers_.listen()}) {
+        for (const auto &status : {peers_.listen(), callers_.listen(),
+                                   metricsServer_.listen(settings_.metricsAddress)}) {
             if (!status.ok()) {
                 logEvent(LogLevel::Error, "node.failed", {{"error", status.ToString()}});
                 flushLog();
@@ -147,6 +152,7 @@
     EventLoop                       loop_;
     ConnectionPool                  connections_;
     DetourClient                    store_;
+    NodeMetrics                     metrics_;
     std::unique_ptr<JournalStore>   journal_;
     std::unique_ptr<OwnershipGroup> group_;
     std::unique_ptr<Directory>      directoryService_;
@@ -154,12 +160,15 @@
     std::unique_ptr<MachineService> machines_;
     DirectoryTask                   directory_;
     OwnershipTask                   ownership_;
+    std::unique_ptr<JournalStore>   meteredJournal_;
+    std::unique_ptr<WorkerService>  meteredWorkers_;
     PoolsTask                       pools_;
     RouterTask                      router_;
     CoordinatorTask                 coordinator_;
     ReporterTask                    reporter_;
     PeerServerTask                  peers_;
     JobCallerTask                   callers_;
+    MetricsTask                     metricsServer_;
     std::unique_ptr<Timer>          stopTimer_;
     TimeMs                          stopAt_ = 0;
 };
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,7 @@
     std::string       callersAddress; // Where callers connect. Required.
     std::string       readyAddress;   // Where the load balancer asks. Required.
     std::string       peersAddress;   // Where other nodes connect. Required.
+    std::string       metricsAddress; // Where metrics are served. Empty: nowhere.
     PlatformAddresses platform;
     OwnershipSettings ownership;
     PoolSettings      pool;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "node/detour.h"
+#include "node/metrics.h"
 #include "node/node.h"
 
 namespace peridotwalk {
@@ -190,6 +191,7 @@
 struct PoolServices {
     JournalStore  &journal;
     WorkerService &workers;
+    NodeMetrics   *metrics = nullptr; // Nothing: takeovers aren't noted.
 };
 
 // Takes one pool over, and connects its scheduler to the store and the workers.
@@ -429,8 +431,8 @@
 class JobCallerTask
 {
 public:
-    JobCallerTask(EventLoop &loop, const NodeSettings &settings, DirectoryTask &directory,
-                  OwnershipTask &ownership, RouterTask &router);
+    JobCallerTask(EventLoop &loop, const NodeSettings &settings, NodeMetrics &metrics,
+                  DirectoryTask &directory, OwnershipTask &ownership, RouterTask &router);
 
     auto listen() -> absl::Status;
     auto beginStop() -> void;
@@ -447,14 +449,24 @@
     auto answer(ExchangeId id, int status, std::string body) -> void;
     auto deadlineOf(const CallerCall &call) const -> TimeMs;
     auto isReady() const -> bool;
+    auto send(ExchangeId id, HttpReply reply) -> void;
+
+    // For the metrics.
+    struct OpenCall {
+        std::string verb;
+        TimeMs      arrivedAt = 0;
+    };
 
     const NodeSettings &settings_;
+    NodeMetrics        &metrics_;
     DirectoryTask      &directory_;
     OwnershipTask      &ownership_;
     RouterTask         &router_;
     HttpServer          server_;
     HttpServer          readyServer_;
     bool                isStopping_ = false;
+
+    std::map<ExchangeId, OpenCall> calls_;
 };
 
 } // namespace peridotwalk
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -104,6 +104,9 @@
               {"token", identity_.token},
               {"jobs", restored.jobs.size()},
               {"took_ms", bootMs() - beganAt_}});
+    if (services_.metrics != nullptr) {
+        services_.metrics->addTakeover(bootMs() - beganAt_);
+    }
     scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
     scheduler_->setTerm(termUntil_);
     scheduler_->restore(readMoment(), std::move(restored.jobs),
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -17,6 +17,7 @@
     reader.address("callers", settings.callersAddress);
     reader.address("ready", settings.readyAddress);
     reader.address("peers", settings.peersAddress);
+    reader.optionalAddress("metrics", settings.metricsAddress);
 }
 
 auto readStore(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
