An emulator of the platform on loopback, and a soak of real processes with faults from outside

It checks what callers and workers see.

Also: closer packing of timed tasks (weight 1.0), 3 % of room kept over need, bursts taken to grow by half.

--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the users' platform on loopback: store, workers and callers, seeded, with faults on demand."""
--- /dev/null
+++ b/emulator/store.py
@@ -0,0 +1,213 @@
+"""The platform's store: topics of records with offsets, newest records by key, and ownership groups."""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+
+from emulator.web import NoAnswer
+
+PARTITIONS = 16
+KEPT_APPENDS = 5  # Repeats of an append that get their first answer again.
+
+
+def split_records(data):
+    """Splits a body into records: 4 bytes of length, most significant first, and the content."""
+    records = []
+    while data:
+        (length,) = struct.unpack(">I", data[:4])
+        records.append(data[4 : 4 + length])
+        data = data[4 + length :]
+    return records
+
+
+def keyed(key, value):
+    """Returns the content of a record in a keyed topic."""
+    return bytes([len(key)]) + key.encode() + value
+
+
+class Partition:
+    def __init__(self):
+        self.first = 0
+        self.records = []
+        self.newest = {}  # Key to value and offset.
+        self.producers = {}  # Name to epoch, last sequence, and answers of the last appends.
+        self.grown = asyncio.Event()
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def append(self, records, is_keyed):
+        offset = self.end
+        for record in records:
+            if is_keyed:
+                key = record[1 : 1 + record[0]].decode()
+                value = record[1 + record[0] :]
+                self.newest.pop(key, None)
+                if value:
+                    self.newest[key] = (value, self.end)
+            self.records.append(record)
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return {"offset": offset, "end": self.end}
+
+    def forget(self):
+        """Drops the history; the newest record of each key stays."""
+        self.first = self.end
+        self.records = []
+
+
+class Group:
+    """Deals the partitions of a topic evenly. One that moves is first given up by its holder."""
+
+    def __init__(self, topic):
+        self.topic = topic
+        self.generation = 0
+        self.members = {}  # Name to ttl in s, time of the last join, generation that it named.
+        self.target = {}  # Partition to the member that is to have it.
+        self.holder = {}  # Partition to the member that has it, and since which generation.
+
+    def deal(self):
+        self.generation += 1
+        names = sorted(self.members)
+        self.target = {part: names[part % len(names)] for part in range(PARTITIONS)} if names else {}
+
+    def expire(self):
+        now = time.monotonic()
+        for name, (ttl, joined, _) in list(self.members.items()):
+            if now - joined > ttl:
+                self.remove(name)
+
+    def remove(self, name):
+        if self.members.pop(name, None):
+            self.holder = {part: holder for part, holder in self.holder.items() if holder != name}
+            self.deal()
+
+    def join(self, name, ttl, generation):
+        self.expire()
+        is_new = name not in self.members
+        self.members[name] = (ttl, time.monotonic(), generation)
+        if is_new:
+            self.deal()
+        for part, holder in list(self.holder.items()):
+            if holder == name and self.target.get(part) != name and generation >= self.generation:
+                del self.holder[part]  # Told of this generation, it gives up what it no longer lists.
+        for part, target in self.target.items():
+            if target == name and part not in self.holder:
+                self.holder[part] = name
+        parts = [[self.topic, part, 0] for part, target in self.target.items() if target == name and self.holder.get(part) == name]
+        return {"generation": self.generation, "parts": parts}
+
+    def owners(self):
+        self.expire()
+        return [[self.topic, part, holder, 0] for part, holder in sorted(self.holder.items())]
+
+
+class Store:
+    """Answers the store's calls. `fault` decides for each request what goes wrong with it."""
+
+    def __init__(self):
+        self.topics = {}
+        self.groups = {}
+        self.fault = lambda request: None  # None, "unavailable", "silent" or "lost".
+
+    def partition(self, topic, part=0):
+        return self.topics.setdefault(topic, {}).setdefault(int(part), Partition())
+
+    def put(self, topic, key, value):
+        """Writes as the operator or a worker does; None removes the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        self.partition(topic).append([keyed(key, data)], True)
+
+    def forget_history(self):
+        for parts in self.topics.values():
+            for partition in parts.values():
+                partition.forget()
+
+    async def handle(self, request):
+        fault = self.fault(request)
+        if fault == "silent":
+            raise NoAnswer()
+        if fault == "unavailable":
+            return 503, {}
+        answer = await self.dispatch(request)
+        if fault == "lost":
+            raise NoAnswer()
+        return answer
+
+    async def dispatch(self, request):
+        name = request.path.rsplit("/", 1)[-1]
+        if name == "log-append":
+            return self.append(request)
+        if name == "log-read":
+            return await self.read(request)
+        if name == "log-newest":
+            return self.newest(request)
+        if name == "log-join":
+            body = request.json()
+            group = self.groups.setdefault(body["group"], Group(body["topics"][0]))
+            return 200, group.join(body["member"], body["ttlMs"] / 1000, body.get("generation", 0))
+        if name == "log-leave":
+            body = request.json()
+            if body["group"] in self.groups:
+                self.groups[body["group"]].remove(body["member"])
+            return 200, {}
+        if name == "log-owners":
+            group = self.groups.get(request.query["group"])
+            return 200, {"owners": group.owners() if group else []}
+        return 404, {}
+
+    def append(self, request):
+        query = request.query
+        partition = self.partition(query["topic"], query["part"])
+        records = split_records(request.body)
+        producer = query.get("producer")
+        if producer is None:
+            return 200, partition.append(records, query["topic"].startswith("keyed."))
+        epoch, sequence = int(query["epoch"]), int(query.get("seq", -1))
+        known, last, answers = partition.producers.get(producer, (0, 0, {}))
+        if epoch < known:
+            return 409, {"reason": "fenced"}
+        if epoch > known:
+            last, answers = None, {}
+        if not records:
+            partition.producers[producer] = (epoch, last, answers)
+            return 200, {"offset": partition.end, "end": partition.end}
+        if sequence in answers:
+            return 200, answers[sequence]
+        if last is not None and sequence != last + 1:
+            return 409, {"reason": "seq", "expected": last + 1}
+        answer = partition.append(records, query["topic"].startswith("keyed."))
+        answers = {**answers, sequence: answer}
+        partition.producers[producer] = (epoch, sequence, dict(list(answers.items())[-KEPT_APPENDS:]))
+        return 200, answer
+
+    async def read(self, request):
+        query = request.query
+        partition = self.partition(query["topic"], query["part"])
+        start = int(query["from"])
+        if start < partition.first:
+            return 410, {"first": partition.first}
+        if start >= partition.end and int(query.get("waitMs", 0)) > 0:
+            try:
+                await asyncio.wait_for(partition.grown.wait(), int(query["waitMs"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        if start < partition.first:
+            return 410, {"first": partition.first}
+        body = struct.pack(">QQ", partition.end, partition.first)
+        for record in partition.records[start - partition.first :]:
+            body += struct.pack(">I", len(record)) + record
+        return 200, body
+
+    def newest(self, request):
+        partition = self.partition(request.query["topic"], request.query["part"])
+        after = request.query.get("after", "")
+        keys = sorted(key for key in partition.newest if key > after)
+        items = [
+            {"key": key, "value": base64.b64encode(partition.newest[key][0]).decode(), "offset": partition.newest[key][1]}
+            for key in keys[:500]
+        ]
+        return 200, {"items": items, "hasMore": len(keys) > 500, "end": partition.end}
--- /dev/null
+++ b/emulator/workers.py
@@ -0,0 +1,176 @@
+"""Workers that run tasks under leases and fencing tokens, and the ledger of what must never happen."""
+
+import asyncio
+import random
+import time
+
+from emulator.web import serve
+
+HEARTBEAT_S = 0.5
+MISSED_HEARTBEATS = 3
+MAX_LEASE_MS = 10_000
+MAX_WAIT_MS = 2_000
+
+
+class Ledger:
+    """What callers and workers have seen. `broken` lists promises that were not kept."""
+
+    def __init__(self):
+        self.jobs = {}  # Id to spec, steps, and whether it was accepted, refused for good, or cancelled.
+        self.running = {}  # Task to the workers that run it.
+        self.done = set()  # Tasks whose end an owner has acknowledged as done.
+        self.ended_done = set()  # Tasks with an end that a worker listed as done.
+        self.starts = 0
+        self.broken = []
+
+    def fail(self, text):
+        self.broken.append(f"{time.monotonic():.3f} {text}")
+
+    def check_start(self, worker, task, spec):
+        job_id, _, step, _ = task.split(".")
+        job = self.jobs.get(job_id)
+        if job is None or job["spec"] != spec:
+            self.fail(f"UNASKED {task} on {worker.id}")
+            return
+        self.starts += 1
+        if self.running.get(task):
+            self.fail(f"TWICE {task} on {worker.id} and {sorted(self.running[task])}")
+        if task in self.done:
+            self.fail(f"TWICE {task} started on {worker.id} after its end was acknowledged as done")
+        for earlier in job["steps"][int(step)].get("after", []):
+            for index in range(job["steps"][earlier]["count"]):
+                if f"{job_id}.0.{earlier}.{index}" not in self.ended_done:
+                    self.fail(f"ORDER {task} before {job_id}.0.{earlier}.{index}")
+        self.running.setdefault(task, set()).add(worker.id)
+
+    def end(self, worker, task):
+        self.running.get(task, set()).discard(worker.id)
+
+
+class Worker:
+    """One life of a worker. Another life of the same machine has another id."""
+
+    def __init__(self, store, ledger, number, seed, zone, service="pool"):
+        self.id = f"i-{number}"
+        self.store, self.ledger, self.zone, self.service = store, ledger, zone, service
+        self.random = random.Random(seed)
+        self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
+        self.capacity = {"cpu": 4000, "memMb": 16000}
+        self.token = 0
+        self.lease_ms = 0
+        self.running = {}  # Task to run, end on our clock in ms, and room.
+        self.voided = {}  # Task to the highest run that was stopped or ended here.
+        self.finished = []  # Rows of number, task, run, how, checkpoint.
+        self.last_end = 0
+        self.changed = asyncio.Event()
+        self.is_up = True
+        self.port = 0
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.started) * 1000)
+
+    async def start(self, address_of):
+        """`address_of` takes our port and returns the address that others are told, a proxy's perhaps."""
+        self.server, self.port = await serve(self.handle)
+        self.address = await address_of(self.port)
+        self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.work())]
+
+    async def beat(self):
+        sequence = 0
+        while self.is_up:
+            sequence += 1
+            self.store.put("keyed.servers", self.id, {
+                "service": self.service, "address": self.address, "zone": self.zone, "state": "ready", "version": "v1",
+                "slots": 8, "seq": sequence, "born": self.born, "capacity": self.capacity, "labels": ["a", "rack-1"]})
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def work(self):
+        while self.is_up:
+            await asyncio.sleep(0.02)
+            now = self.clock_ms()
+            for task, run in list(self.running.items()):
+                if now > self.lease_ms:
+                    self.finish(task, "lapsed")
+                elif now >= run["ends"]:
+                    self.finish(task, "failed" if self.random.random() < 0.02 else "done")
+
+    def finish(self, task, how):
+        run = self.running.pop(task)
+        self.ledger.end(self, task)
+        self.voided[task] = max(self.voided.get(task, 0), run["run"])
+        if how == "done":
+            self.ledger.ended_done.add(task)
+        self.last_end += 1
+        self.finished.append([self.last_end, task, run["run"], how, ""])
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def crash(self):
+        """Loses all that it ran and listed. Its entry goes after a few missed heartbeats."""
+        self.is_up = False
+        self.server.close()
+        for task in list(self.running):
+            self.running.pop(task)
+            self.ledger.end(self, task)
+        await asyncio.sleep(HEARTBEAT_S * MISSED_HEARTBEATS)
+        self.store.put("keyed.servers", self.id, None)
+
+    async def handle(self, request):
+        if not self.is_up:
+            return 503, {}
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            return 421, {}
+        body = request.json()
+        token = body.get("fencingToken", 0)
+        if token < self.token:
+            return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
+        self.token = token
+        if "deadlineMs" in body:
+            self.lease_ms = max(self.lease_ms, min(body["deadlineMs"], self.clock_ms() + MAX_LEASE_MS))
+        name = request.path.rsplit("/", 1)[-1]
+        if name == "run-start":
+            return self.start_run(body)
+        if name == "run-stop":
+            self.voided[body["task"]] = max(self.voided.get(body["task"], 0), body["run"])
+            run = self.running.get(body["task"])
+            if run and run["run"] <= body["run"]:
+                self.finish(body["task"], "stopped")
+            return 200, {"clockMs": self.clock_ms()}
+        if name == "hold":
+            return await self.hold(body)
+        return 200, {"clockMs": self.clock_ms()}
+
+    def start_run(self, body):
+        task, number = body["task"], body["run"]
+        run = self.running.get(task)
+        if run and run["run"] == number:
+            return 200, {"clockMs": self.clock_ms()}
+        if number <= self.voided.get(task, 0):
+            return 409, {"clockMs": self.clock_ms(), "reason": "old"}
+        if body["deadlineMs"] < self.clock_ms():
+            return 409, {"clockMs": self.clock_ms(), "reason": "late"}
+        self.ledger.check_start(self, task, body.get("spec", ""))
+        job_id, _, step, _ = task.split(".")
+        spec = self.ledger.jobs.get(job_id, {"steps": {int(step): {}}})["steps"][int(step)]
+        need = {name: spec.get(name, 0) for name in self.capacity}
+        for name, most in self.capacity.items():
+            if sum(other["need"][name] for other in self.running.values()) + need[name] > most:
+                self.ledger.fail(f"LIMIT {task} on {self.id}: {name}")
+        took = spec.get("estimateMs", 300) * self.random.uniform(0.5, 1.5)
+        self.running[task] = {"run": number, "ends": self.clock_ms() + took, "need": need}
+        return 200, {"clockMs": self.clock_ms()}
+
+    async def hold(self, body):
+        cursor = body.get("ackCursor", 0)
+        for row in self.finished:
+            if row[0] <= cursor and row[3] == "done":
+                self.ledger.done.add(row[1])
+        self.finished = [row for row in self.finished if row[0] > cursor]
+        if body.get("waitMs", 0) and not self.finished:
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(body["waitMs"], MAX_WAIT_MS) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = [[task, run["run"], "", 100, 0] for task, run in self.running.items()]
+        return 200, {"clockMs": self.clock_ms(), "born": self.born, "running": running, "finished": self.finished[:500]}
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -149,8 +149,8 @@
     TimeMs       lendMs = 300;       // A machine is idle that long before another pool gets it,
     TimeMs       surplusMs = 900;    // and that long before it is set aside.
     TimeMs       blockedMs = 500;    // Ready tasks that wait that long get another machine.
-    double       spareFactor = 1.15; // Room kept over what a pool asks for.
-    double       risingFactor = 2.0; // A burst that begins is taken to grow so much at least.
+    double       spareFactor = 1.03; // Room kept over what a pool asks for.
+    double       risingFactor = 1.5; // A burst that begins is taken to grow so much at least.
     double       burstMachines = 2.0; // Less demand than of that many machines is no burst.
     std::int64_t minMachines = 3;     // Of each pool.
     double       floorPart = 0.42;    // Of an even split of all machines: none is set aside below.
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -13,7 +13,7 @@
 constexpr double kHopelessPart = 0.6;      // Of the work left by its estimate.
 constexpr int    kLateObjectives = 3;      // Work counts as late up to that many objectives.
 constexpr double kLastingMemoryLeft = 0.4; // Of a worker, for timed work beside lasting work.
-constexpr double kPackWeight = 0.3;        // Of packing, against balance between cpu and memory.
+constexpr double kPackWeight = 1.0;        // Of packing, against balance between cpu and memory.
 constexpr double kNearDataFitness = 10; // Above all else: far from its data, work takes a multiple.
 constexpr TimeMs kExplainGapMs = 1'000; // Between two lines on one waiting job.
 constexpr TimeMs kPlacementStallMs = 300; // Nothing is placed while an append is older than that.
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,67 @@
+"""A loopback TCP proxy whose connections can be delayed, reset, cut one way, or silenced."""
+
+import asyncio
+import socket
+import struct
+
+CHUNK = 65536
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close sends a reset.
+
+
+class Proxy:
+    """Passes bytes on to a port. `mode` is "pass", "delay", "silent", "one_way" (answers are lost) or "refuse"."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            connection = writer.get_extra_info("socket")
+            if connection is not None:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    async def on_connection(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        # Bytes that a connection swallowed are gone, so it stays silent when the fault is over.
+        state = {"is_silent": False}
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, state, False), self.pump(far_reader, writer, state, True))
+        except asyncio.CancelledError:
+            pass  # The soak is over.
+        finally:
+            self.writers -= {writer, far_writer}
+            writer.close()
+            far_writer.close()
+
+    async def pump(self, reader, writer, state, is_answer):
+        try:
+            while data := await reader.read(CHUNK):
+                if self.mode == "silent" or (self.mode == "one_way" and is_answer):
+                    state["is_silent"] = True
+                if state["is_silent"] and (is_answer or self.mode == "silent"):
+                    continue
+                if self.mode == "delay":
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
