--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy whose connections can be delayed, reset, cut one way, or silenced."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -25,7 +26,7 @@
     def reset_all(self):
         for writer in list(self.writers):
             connection = writer.get_extra_info("socket")
-            if connection is not None:
+            with contextlib.suppress(OSError):  # Closed meanwhile.
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             writer.transport.abort()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,7 +55,7 @@
         self.store = Proxy(store_port)
         self.callers, self.ready, self.peers = free_port(), free_port(), free_port()
         self.process = None
-        self.is_paused = False
+        self.restarting = asyncio.Lock()  # One process at a time has the node's addresses.
 
     async def start(self):
         if self.process is None:
@@ -139,15 +139,17 @@
 
     async def kill_node(self):
         node = self.random.choice(self.nodes)
-        node.signal(signal.SIGKILL)
-        node.process.wait()
-        await asyncio.sleep(self.random.uniform(0.1, 4))
-        await node.start()
+        async with node.restarting:
+            node.signal(signal.SIGKILL)
+            node.process.wait()
+            await asyncio.sleep(self.random.uniform(0.1, 4))
+            await node.start()
 
     async def roll_node(self):
         node = self.random.choice(self.nodes)
-        await node.stop()
-        await node.start()
+        async with node.restarting:
+            await node.stop()
+            await node.start()
 
     async def pause_node(self):
         node = self.random.choice(self.nodes)
