--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -18,8 +18,8 @@
 //-----------------------------------------------------------------------------
 
 struct OwnershipSettings {
-    TimeMs       ttlMs = 2'500;  // A silent owner is replaced after that.
-    TimeMs       renewMs = 700;  // Three renewals may fail before the term ends.
+    TimeMs       ttlMs = 1'800;  // A silent owner is replaced after that.
+    TimeMs       renewMs = 450;  // Three renewals may fail before the term ends.
     TimeMs       marginMs = 200; // Taken off each term, for orders on their way.
     std::int64_t partitions = 16;
 };
--- a/tests/unit/test_ownership.cpp
+++ b/tests/unit/test_ownership.cpp
@@ -20,9 +20,10 @@
 
 Test(ownership, counts_its_term_from_before_the_renewal_was_sent)
 {
-    auto ownership = Ownership({});
+    const auto settings = OwnershipSettings{};
+    auto       ownership = Ownership(settings);
     ownership.onRenewed(1'000, 2'000, {5, {3}});
-    cr_assert_eq(ownership.termUntil(), 1'000 + 2'500 - 200);
+    cr_assert_eq(ownership.termUntil(), 1'000 + settings.ttlMs - settings.marginMs);
 }
 
 Test(ownership, takes_over_anew_after_a_break_in_which_others_may_have_owned)
