--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <tuple>
 
@@ -77,6 +78,14 @@
 }
 
 // Runs are ordered by job, occurrence and step, so those of one step stand side by side.
+// Small jobs go first, as more of them end in time; those of about a size by age. By size alone, large
+// jobs would wait until they are late.
+auto sizeClass(std::int64_t remaining) -> int
+{
+    constexpr int kBitsPerClass = 2; // Jobs of one class differ by up to four times.
+    return std::bit_width(static_cast<std::uint64_t>(remaining)) / kBitsPerClass;
+}
+
 auto countSiblings(const Worker &worker, const TaskRef &ref) -> std::int64_t
 {
     const auto first = worker.runs.lower_bound({ref.job, ref.occurrence, ref.step, 0});
@@ -131,8 +140,8 @@
         }
     }
     std::ranges::sort(ready, {}, [](const ReadyStep &step) {
-        return std::tuple(!step.isLongRunning, step.standing, step.priority, step.remaining,
-                          step.dueMs);
+        return std::tuple(!step.isLongRunning, step.standing, step.priority,
+                          sizeClass(step.remaining), step.dueMs);
     });
     return ready;
 }
