--- a/src/node/detour.cpp
+++ b/src/node/detour.cpp
@@ -148,13 +148,13 @@
 auto DetourClient::sendDirect(HttpCall call, Done done) -> void
 {
     connections_.request(
-        store_, std::move(call), [this, done = std::move(done)](HttpResult result) {
+        store_, std::move(call), [this, done = std::move(done)](const HttpResult &result) {
             if (path_.isFailing() == isGood(result)) {
                 logEvent(LogLevel::Warning, isGood(result) ? "store.direct" : "store.detour",
                          {{"status", result.status}, {"error", result.error}});
             }
             path_.onDirect(isGood(result));
-            done(std::move(result));
+            done(result);
         });
 }
 
@@ -166,7 +166,7 @@
                             packStoreCall(call),
                             call.timeoutMs + kPeerMarginMs};
     connections_.request(
-        peer, std::move(relayed), [this, peer, done = std::move(done)](HttpResult result) {
+        peer, std::move(relayed), [this, peer, done = std::move(done)](const HttpResult &result) {
             auto answer = result.isWhole && result.status == kHttpOk
                 ? unpackStoreResult(result.body)
                 : makeError(absl::StatusCode::kUnavailable, "peer.store_call", peer, result.error);
