--- /dev/null
+++ b/src/coordinator/moves.cpp
@@ -0,0 +1,147 @@
+#include "coordinator/coordinator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotwalk {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Machine planner: moves
+//-----------------------------------------------------------------------------
+
+// Bursts of pools that take turns are alike.
+auto MachinePlanner::sharedPeak() const -> std::int64_t
+{
+    std::int64_t peak = 0;
+    for (const auto &[name, pool] : pools_) {
+        peak = std::max(peak, pool.forecast.peak());
+    }
+    return peak;
+}
+
+auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have) const
+    -> std::int64_t
+{
+    const auto &unit = pool.report.perWorker;
+    if (unit.cpu <= 0 || unit.memoryMb <= 0) {
+        return std::max(have, settings_.minMachines);
+    }
+    auto         timed = pool.report.wanted.cpu;
+    std::int64_t lasting = 0;
+    std::int64_t lastingWorkers = 0;
+    for (const auto &[id, worker] : pool.workers) {
+        timed += worker.cpu;
+        lasting += worker.lastingCpu;
+        lastingWorkers += worker.lastingRuns > 0 ? 1 : 0;
+    }
+    if (pool.forecast.isRising(now)) {
+        const auto grown =
+            static_cast<std::int64_t>(settings_.risingFactor * static_cast<double>(timed));
+        timed = std::max(grown, sharedPeak());
+    }
+    const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
+        return static_cast<std::int64_t>(std::ceil(
+            static_cast<double>(amount) * settings_.spareFactor / static_cast<double>(of)));
+    };
+    auto desired =
+        std::max({settings_.minMachines, lastingWorkers, toMachines(timed + lasting, unit.cpu)});
+    if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedMs) {
+        desired = std::max(desired, have + 1);
+    }
+    return desired;
+}
+
+// A pool keeps enough to go on by itself while there is no coordinator.
+auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool) const
+    -> Balance
+{
+    const auto even = static_cast<double>(machines_.size())
+        / static_cast<double>(std::max<std::size_t>(1, active_.size()));
+    const auto part = [&](double of) { return static_cast<std::int64_t>(of * even); };
+    const auto have = countUsable(now, name);
+    const auto desired = desiredMachines(now, pool, have);
+    auto       balance = Balance{};
+    balance.missing = std::max<std::int64_t>(0, desired - have);
+    balance.lendable =
+        std::max<std::int64_t>(0, have - std::max(desired, part(settings_.lendFloorPart)));
+    balance.surplus =
+        std::max<std::int64_t>(0, have - std::max(desired, part(settings_.floorPart)));
+    return balance;
+}
+
+// Returns the pool that misses most, or nothing.
+auto MachinePlanner::chooseNeedy(const std::map<std::string, Balance> &balances,
+                                 const Machine                        &machine) const -> std::string
+{
+    auto         needy = std::string();
+    std::int64_t most = 0;
+    for (const auto &[name, balance] : balances) {
+        if (balance.missing > most && !machine.refusedPools.contains(name)) {
+            most = balance.missing;
+            needy = name;
+        }
+    }
+    return needy;
+}
+
+// Returns machines that can go elsewhere, those that stand by first.
+auto MachinePlanner::findIdle(TimeMs now) -> std::vector<Machine *>
+{
+    auto idle = std::vector<Machine *>();
+    for (auto &[name, machine] : machines_) {
+        const auto isFree = machine.isListed && machine.entry.state == MachineState::Up
+            && !machine.isCalling && machine.wantedWave.empty() && machine.wantedPool.empty()
+            && now >= machine.retryAt && !isAway(now, machine);
+        const auto isOut = evacuated_.contains(machine.entry.zone);
+        const auto isStandingBy = isStandby(machine.entry.pool);
+        if (!isFree || (!isStandingBy && !isVacant(now, machine))) {
+            machine.idleSince = -1;
+            continue;
+        }
+        if (machine.idleSince < 0) {
+            machine.idleSince = now;
+        }
+        const auto isRested = now - machine.idleSince >= settings_.lendMs;
+        if ((isStandingBy && !isOut) || (!isStandingBy && isRested)) {
+            idle.push_back(&machine);
+        }
+    }
+    std::ranges::sort(idle, {},
+                      [&](const Machine *machine) { return !isStandby(machine->entry.pool); });
+    return idle;
+}
+
+// Gives pools that ask for more what stands by or lies idle elsewhere, and sets aside what nobody needs.
+auto MachinePlanner::planMoves(TimeMs now) -> void
+{
+    auto balances = std::map<std::string, Balance>();
+    for (const auto &[name, pool] : pools_) {
+        if (active_.contains(name) && now - pool.reportedAt <= settings_.reportFreshMs) {
+            balances[name] = balanceOf(now, name, pool);
+        }
+    }
+    for (auto *machine : findIdle(now)) {
+        auto      &from = balances[machine->entry.pool];
+        const auto isStandingBy = isStandby(machine->entry.pool);
+        const auto isOut = evacuated_.contains(machine->entry.zone);
+        const auto needy = isOut ? std::string() : chooseNeedy(balances, *machine);
+        const auto isRested = now - machine->idleSince >= settings_.surplusMs;
+        if (!needy.empty() && (isStandingBy || from.lendable > 0)) {
+            machine->wantedPool = needy;
+            --balances[needy].missing;
+        } else if (!isStandingBy && isRested && (isOut || from.surplus > 0) && !standby_.empty()
+                   && !machine->refusedPools.contains(*standby_.begin())) {
+            machine->wantedPool = *standby_.begin();
+        } else {
+            continue;
+        }
+        if (!isStandingBy && !isOut) {
+            --from.lendable;
+            --from.surplus;
+        }
+    }
+    isShort_ =
+        std::ranges::any_of(balances, [](const auto &item) { return item.second.missing > 0; });
+}
+
+} // namespace peridotwalk
