Machine calls are dated by when they leave, not by when they are chosen

Cause: a call waits until the coordinator's record names it. With the store away that takes seconds. Its 3.5 s in the record, and the 12 s for which the worker gets no new runs, counted from the choice; both could be over soon after the call left, and a holder that then took over counted the machine as not called.

The task releases recorded calls only within a term, so the date is the one at which they leave.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -194,7 +194,8 @@
     auto onReport(TimeMs now, const PoolReport &report) -> void;
     auto onListed(TimeMs now, const std::vector<MachineEntry> &machines) -> void;
     auto onListFailed(TimeMs now) -> void;
-    auto onRecorded(std::int64_t sequence) -> void; // The journal has it: its calls leave.
+    auto onRecorded(TimeMs now, std::int64_t sequence)
+        -> void; // The journal has it: its calls leave.
     auto onMoved(TimeMs now, const MoveMachine &call, const MachineReply &reply) -> void;
     auto onMaintained(TimeMs now, const MaintainMachine &call, const MachineReply &reply) -> void;
     auto onWaveWritten(const WriteWaveState &call, CallOutcome outcome) -> void;
@@ -218,7 +219,7 @@
         MachineEntry          entry;
         bool                  isListed = false;
         TimeMs                listedAt = -1;       // Last, in a list.
-        TimeMs                calledAt = -1;       // Last, by us.
+        TimeMs                calledAt = -1;       // Last, by us: the call left then, or waits.
         TimeMs                maintainedAt = -1;   // It may have gone down for maintenance then.
         bool                  isCalling = false;   // A call is under way.
         TimeMs                awayUntil = 0;       // It was called, and isn't known to be back.
@@ -271,6 +272,7 @@
     auto countMachines(std::string_view pool) const -> std::int64_t;
     auto countUsable(TimeMs now, std::string_view pool) const -> std::int64_t;
     auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
+    auto markCalled(TimeMs now, Machine &machine) -> void;
 
     PlannerSettings                          settings_;
     TimeMs                                   heldSince_ = -1; // Not the holder yet.
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -225,14 +225,10 @@
 auto MachinePlanner::callMachine(TimeMs now, const std::string &name, Machine &machine) -> void
 {
     machine.isCalling = true;
-    machine.calledAt = now;
     machine.wasSeenAway = false;
-    machine.awayUntil = now + settings_.settleMs;
     machine.calledWorker = machine.entry.worker;
     std::erase_if(called_, [&](const auto &item) { return item.second < now; });
-    if (!machine.entry.worker.empty()) {
-        called_[machine.entry.worker] = now + settings_.calledMs;
-    }
+    markCalled(now, machine);
     if (!machine.wantedWave.empty()) {
         unrecorded_.emplace_back(MaintainMachine{name, machine.wantedWave});
     } else {
@@ -267,17 +263,31 @@
     actions_.push_back(RecordCalls{++sequence_, recorded_});
 }
 
-auto MachinePlanner::onRecorded(std::int64_t sequence) -> void
+auto MachinePlanner::onRecorded(TimeMs now, std::int64_t sequence) -> void
 {
     if (!isRecording_ || sequence != sequence_) {
         return;
     }
     isRecording_ = false;
     for (auto &call : std::exchange(recording_, {})) {
+        const auto *move = std::get_if<MoveMachine>(&call);
+        markCalled(
+            now,
+            machines_[move != nullptr ? move->machine : std::get<MaintainMachine>(call).machine]);
         actions_.push_back(std::move(call));
     }
 }
 
+// The machine is about to go away, and its worker with it.
+auto MachinePlanner::markCalled(TimeMs now, Machine &machine) -> void
+{
+    machine.calledAt = now;
+    machine.awayUntil = now + settings_.settleMs;
+    if (!machine.calledWorker.empty()) {
+        called_[machine.calledWorker] = now + settings_.calledMs;
+    }
+}
+
 // Nothing runs on the machine, and nothing will start there.
 auto MachinePlanner::isEmptied(TimeMs now, const Machine &machine) const -> bool
 {
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -152,16 +152,27 @@
     services_.journal.append(writer(*duty, action.sequence), {encodeCoordinator(action.record)},
                              [this, duty, action](CallOutcome outcome) {
                                  if (outcome == CallOutcome::Done) {
-                                     duty->planner.onRecorded(action.sequence);
-                                     if (duty == duty_ && isInTerm()) {
-                                         carryOut();
-                                     }
+                                     releaseCalls(duty, action.sequence);
                                  } else if (outcome != CallOutcome::Fenced) {
                                      later(duty, [this, duty, action] { append(duty, action); });
                                  }
                              });
 }
 
+// Calls leave only within a term, and are dated by when they leave.
+auto CoordinatorTask::releaseCalls(const DutyPtr &duty, std::int64_t sequence) -> void
+{
+    if (duty != duty_) {
+        return;
+    }
+    if (!isInTerm()) {
+        later(duty, [this, duty, sequence] { releaseCalls(duty, sequence); });
+        return;
+    }
+    duty->planner.onRecorded(bootMs(), sequence);
+    carryOut();
+}
+
 auto CoordinatorTask::perform(const ListMachines & /*action*/) -> void
 {
     services_.machines.list(
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -350,6 +350,7 @@
     auto fence(const DutyPtr &duty) -> void;
     auto readRecord(const DutyPtr &duty) -> void;
     auto append(const DutyPtr &duty, const RecordCalls &action) -> void;
+    auto releaseCalls(const DutyPtr &duty, std::int64_t sequence) -> void;
     auto carryOut() -> void;
     auto writer(const Duty &duty, std::int64_t sequence) const -> JournalWriter;
     auto later(const DutyPtr &duty, std::function<void()> action) -> void;
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -98,7 +98,7 @@
             } else if (const auto *record = std::get_if<RecordCalls>(&action)) {
                 records.push_back(*record);
                 if (isRecording) {
-                    planner_.onRecorded(record->sequence);
+                    planner_.onRecorded(now_, record->sequence);
                 }
             } else if (const auto *call = std::get_if<MaintainMachine>(&action)) {
                 maintained.push_back(*call);
@@ -243,7 +243,7 @@
         auto actions = planner.takeActions();
         for (const auto &action : actions) {
             if (const auto *record = std::get_if<RecordCalls>(&action)) {
-                planner.onRecorded(record->sequence);
+                planner.onRecorded(kStartMs + 4'000, record->sequence);
             }
         }
         std::ranges::move(planner.takeActions(), std::back_inserter(actions));
@@ -319,11 +319,48 @@
     cr_assert(fleet.maintained.empty());
     cr_assert_eq(fleet.records.size(), 1U);
     cr_assert(fleet.records[0].record.called.contains("m0"));
-    fleet.planner().onRecorded(fleet.records[0].sequence);
+    fleet.planner().onRecorded(fleet.now(), fleet.records[0].sequence);
     fleet.run(100);
     cr_assert_eq(fleet.maintained.size(), 1U);
 }
 
+// The journal may answer seconds after a call was chosen; the machine is called only then.
+Test(planner, a_call_counts_as_recent_from_when_it_leaves)
+{
+    auto fleet = Fleet(9, stayingPut());
+    fleet.isRecording = false;
+    fleet.worker(0).runs = 0;
+    fleet.planner().setWaves(fleet.now(), makeWave(2, 2));
+    fleet.run(5'000);
+    cr_assert_eq(fleet.records.size(), 1U);
+    fleet.isRecording = true;
+    fleet.planner().onRecorded(fleet.now(), fleet.records[0].sequence);
+    fleet.worker(1).runs = 0;
+    fleet.run(1'000);
+    cr_assert_eq(fleet.maintained.size(), 2U);
+    cr_assert_eq(fleet.records.size(), 2U);
+    cr_assert(fleet.records[1].record.called.contains("m0"));
+    cr_assert(fleet.records[1].record.called.contains("m1"));
+}
+
+// Its worker may still be listed, and gets no new runs for as long as after any other call.
+Test(planner, the_worker_of_a_machine_that_was_called_late_stays_cordoned)
+{
+    auto fleet = Fleet(9, stayingPut());
+    fleet.isRecording = false;
+    fleet.worker(0).runs = 0;
+    fleet.planner().setWaves(fleet.now(), makeWave(1, 1));
+    fleet.run(11'000);
+    fleet.planner().onRecorded(fleet.now(), fleet.records.at(0).sequence);
+    fleet.run(100);
+    cr_assert_eq(fleet.maintained.size(), 1U);
+    fleet.planner().onMaintained(fleet.now(), fleet.maintained[0],
+                                 {CallOutcome::Done, MachineRefusal::None});
+    fleet.machine(0).worker = "w0-new";
+    fleet.run(4'000);
+    cr_assert(fleet.worker(0).isCordoned);
+}
+
 Test(planner, a_new_holder_doesnt_maintain_again_what_is_done)
 {
     auto before = CoordinatorRecord{};
