Work that a tenant's allowance holds back asks for no machines

From 15 s on one pool kept 234 usable workers with 780 of 7,500 cores in use, and got more, while another with 37 workers waited for 27,000 cores; it went on so for 12 s.

Cause: a pool's report counted every ready task without a worker as wanted room, also those of a tenant that may use no more. The planner gives a pool that waits for over 0.5 s one machine more than it has, so nothing of it is lent, and a hot tenant beyond its maximum asked for hundreds of machines that it could never use.

Ruled out: slow emptying of machines (of the 234, 190 had at most one run), the coordinator's absence (held at 13.7 s, 0.2 s after the nodes were back), fair sharing (the pool had no work that could start).

Fix: a task counts as wanted room only while its tenant's allowance covers it and the tasks counted before it. The tenant's own wish, which the quota ledger grants from, is as before.

Test that failed before (1 of 128): pool/work_beyond_an_allowance_asks_for_no_machines. After: 128 of 128.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -45,7 +45,7 @@
     std::int64_t              token = 0; // Fencing token of the pool's owner.
     std::vector<TenantReport> tenants;
     std::vector<WorkerLoad>   workers;
-    ResourceSet               wanted;    // Of ready tasks without a worker.
+    ResourceSet               wanted;    // Of ready tasks that wait for a worker with room alone.
     ResourceSet               perWorker; // Capacity of a typical worker.
 };
 
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -163,6 +163,7 @@
     scheduleAt_ = now.steadyMs + settings_.scheduleGapMs + std::ssize(active_) / kJobsPerGapMs;
     noRoom_.clear();
     tenantWanted_.clear();
+    tenantAsked_.clear();
     wanted_ = {};
     for (const auto &step : findReadySteps(now)) {
         const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
@@ -193,6 +194,18 @@
         && within(rule->maximum.accelerators, limit.accelerators, used.accelerators);
 }
 
+// A task that its tenant's allowance keeps from starting asks for more allowance, but not for workers.
+auto PoolScheduler::State::noteWaiting(const std::string &tenant, const StepSpec &step) -> void
+{
+    tenantWanted_[tenant] += step.need;
+    auto asked = tenantAsked_[tenant];
+    asked += step.need;
+    if (mayUse(tenant, asked)) {
+        tenantAsked_[tenant] = asked;
+        wanted_ += roomNeed(step);
+    }
+}
+
 auto PoolScheduler::State::placeStep(Moment now, const ReadyStep &step) -> void
 {
     auto       &entry = *step.entry;
@@ -222,8 +235,7 @@
             }
             explainWait(now, entry, ref);
         }
-        tenantWanted_[tenant] += spec.need;
-        wanted_ += roomNeed(spec);
+        noteWaiting(tenant, spec);
     }
 }
 
@@ -264,8 +276,7 @@
     }
     if (!isWhole) {
         for (std::size_t index = 0; index < tasks.size(); ++index) {
-            tenantWanted_[tenant] += spec.need;
-            wanted_ += roomNeed(spec);
+            noteWaiting(tenant, spec);
         }
         return;
     }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -183,6 +183,7 @@
     auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto reserve(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
     auto mayUse(const std::string &tenant, const ResourceSet &need) const -> bool;
+    auto noteWaiting(const std::string &tenant, const StepSpec &step) -> void;
 
     // Directions of the coordinator (directions.cpp)
     auto direct(Moment now, const PoolDirection &direction) -> void;
@@ -211,9 +212,10 @@
     std::map<std::string, Worker, std::less<>>   workers_;
     std::map<std::string, ResourceSet>           tenantUsed_;
     std::map<std::string, ResourceSet>           tenantWanted_;
+    std::map<std::string, ResourceSet>           tenantAsked_; // Of it, what the allowance covers.
     std::map<std::string, ResourceSet>           allowances_;
     std::map<std::string, TimeMs>                cordoned_;  // Since when.
-    ResourceSet                                  wanted_;    // Of ready tasks without a worker.
+    ResourceSet                                  wanted_;    // Of tasks that wait for room alone.
     std::set<std::string>                        reserved_;  // Workers kept for lasting tasks.
     std::set<std::string>                        changed_;   // Progress to record.
     std::set<std::string>                        submitted_; // Jobs to record.
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -281,6 +281,32 @@
     cr_assert(world.owner().report().tenants.front().used.cpu == 3'000);
 }
 
+// Machines don't help a tenant that may use no more; a pool that asked for them would keep idle ones.
+Test(pool, work_beyond_an_allowance_asks_for_no_machines)
+{
+    auto world = PoolWorld(1, {}, 1);
+    world.changeView([](FleetView &view) {
+        auto rules = view.catalog.rules();
+        rules.tenants.push_back({"team", {"key"}, 1, {20'000, 0, 0}});
+        view.catalog = Catalog(rules);
+    });
+    auto job = makeJob("a", {makeStep(8, 5'000)});
+    job.tenant = "team";
+    world.submit(job);
+    world.direct({1, {{"team", {3'000, 0, 0}}}, {}});
+    world.run(500);
+    auto report = world.owner().report();
+    cr_assert_eq(world.owner().countRuns(), 3U);
+    cr_assert_eq(report.tenants.front().wanted.cpu, 5'000);
+    cr_assert_eq(report.wanted.cpu, 0);
+    world.direct({1, {{"team", {6'000, 0, 0}}}, {}}); // The worker has room for four.
+    world.run(500);
+    report = world.owner().report();
+    cr_assert_eq(world.owner().countRuns(), 4U);
+    cr_assert_eq(report.tenants.front().wanted.cpu, 4'000);
+    cr_assert_eq(report.wanted.cpu, 2'000);
+}
+
 Test(pool, a_cordoned_worker_is_emptied_within_the_budget)
 {
     auto world = PoolWorld(1, {}, 3);
