--- a/tests/packages/test_packages.py
+++ b/tests/packages/test_packages.py
@@ -28,8 +28,7 @@
         scratch = tempfile.TemporaryDirectory()
         cls.addClassCleanup(scratch.cleanup)
         cls.tree = check.make_checkout(pathlib.Path(scratch.name))
-        cls.build = check.configure(cls.tree)
-        cls.used, cls.unowned = check.find_owners(check.find_used_files(cls.build))
+        cls.used, cls.unowned = check.find_owners(check.find_used_files(cls.tree))
         cls.listed = check.read_deploy(cls.tree)[1]
 
     def test_list_is_exact(self):
@@ -69,7 +68,7 @@
         return path.resolve()
 
     def compare(self, *sources):
-        used, unowned = check.find_owners(check.find_used_files(check.configure(self.tree), set(sources)))
+        used, unowned = check.find_owners(check.find_used_files(self.tree, set(sources)))
         return [line for line in check.compare(used, unowned, check.read_deploy(self.tree)[1])
                 if line.startswith("not listed")]
 
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -33,6 +33,16 @@
     cr_assert(world.broken().empty());
 }
 
+// A tenant "team" that may use so much cpu in all.
+auto addTeam(PoolWorld &world, std::int64_t maximumCpu) -> void
+{
+    world.changeView([&](FleetView &view) {
+        auto rules = view.catalog.rules();
+        rules.tenants.push_back({"team", {"key"}, 1, {maximumCpu, 0, 0}});
+        view.catalog = Catalog(rules);
+    });
+}
+
 auto firstTask(const std::string &job) -> TaskRef
 {
     return {job, 0, 0, 0};
@@ -265,11 +275,7 @@
 Test(pool, a_tenant_runs_no_more_than_its_allowance)
 {
     auto world = PoolWorld(1, {}, 3);
-    world.changeView([](FleetView &view) {
-        auto rules = view.catalog.rules();
-        rules.tenants.push_back({"team", {"key"}, 1, {8'000, 0, 0}});
-        view.catalog = Catalog(rules);
-    });
+    addTeam(world, 8'000);
     auto job = makeJob("a", {makeStep(8, 1'000)});
     job.tenant = "team";
     world.submit(job);
@@ -285,11 +291,7 @@
 Test(pool, work_beyond_an_allowance_asks_for_no_machines)
 {
     auto world = PoolWorld(1, {}, 1);
-    world.changeView([](FleetView &view) {
-        auto rules = view.catalog.rules();
-        rules.tenants.push_back({"team", {"key"}, 1, {20'000, 0, 0}});
-        view.catalog = Catalog(rules);
-    });
+    addTeam(world, 20'000);
     auto job = makeJob("a", {makeStep(8, 5'000)});
     job.tenant = "team";
     world.submit(job);
