A node away from the store gives callers their answer at once

Cause: the router tries until the call's deadline, also where nothing can change before: the node can't reach the pool's owner, and without the store it learns of no other one. The load balancer went on sending callers, as a node said only after 2.5 s without the store that it isn't ready.

Fix: a node counts as away after 1.5 s without the store. It then isn't ready, gives up a call that finds no owner at once (503 if nothing was sent, 504 if it may have been), and doesn't call an owner again that left a call unanswered until it reaches the store or that owner answers. Owners that do answer are called as before, so a zone cut off goes on with what it can.

--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -13,7 +13,6 @@
 constexpr int    kUnavailable = 503;
 constexpr int    kGatewayTimeout = 504;
 constexpr TimeMs kSecondMs = 1'000;
-constexpr TimeMs kReadyStoreMs = 2'500; // A node without the store for longer isn't ready.
 
 auto verbName(CallerVerb verb) -> std::string
 {
@@ -59,8 +58,8 @@
 
 auto JobCallerTask::isReady() const -> bool
 {
-    return !isStopping_ && directory_.hasCatalog()
-        && bootMs() - ownership_.lastRenewedAt() < kReadyStoreMs;
+    return !isStopping_ && directory_.hasCatalog() && ownership_.lastRenewedAt() > 0
+        && !ownership_.isAway();
 }
 
 auto JobCallerTask::beginStop() -> void
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -148,6 +148,7 @@
     auto peers() const -> std::vector<std::string>; // Addresses of other members.
     auto isMember() const -> bool { return isMember_; }
     auto lastRenewedAt() const -> TimeMs { return lastRenewedAt_; }
+    auto isAway() const -> bool; // Lost the store for a while: it learns of no new owners.
 
     // Called with what to do once the pools that were lost are handed over.
     std::function<void(std::function<void()>)>  handOverLost;
@@ -288,6 +289,22 @@
 // [SECTION] Router task
 //-----------------------------------------------------------------------------
 
+// Which owners don't answer a node that is away from the store. It learns of no new owner there, so callers
+// that wait for one only lose their time.
+class OwnerReach
+{
+public:
+    // Commands.
+    auto onAnswer(const std::string &address, bool isWhole) -> void;
+    auto mayCall(const std::string &address, bool isAway) -> bool; // Forgets all unless it is away.
+
+    // Queries.
+    auto mayTryAgain(TimeMs now, TimeMs deadline, TimeMs retryMs, bool isAway) const -> bool;
+
+private:
+    std::set<std::string> silent_;
+};
+
 // Brings calls to the owner of a pool, here or on a peer, and tries again while ownership moves.
 class RouterTask
 {
@@ -315,6 +332,7 @@
     const NodeSettings &settings_;
     PoolsTask          &pools_;
     OwnershipTask      &ownership_;
+    OwnerReach          reach_;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr TimeMs kOwnersGapMs = 100;  // Least time between two readings of the owners.
+constexpr TimeMs kAwayMs = 1'500;     // More than one look at the store failed.
 constexpr TimeMs kRenewRetryMs = 150; // After a renewal that failed.
 constexpr TimeMs kWatchMs = 1'000;    // Of a reserve. Each look is a priced call.
 constexpr TimeMs kUnownedMs = 1'500;  // Members need that long to join when all start together.
@@ -121,6 +122,11 @@
     loop_.post([this] { renew(); }, settings_.ownership.renewMs);
 }
 
+auto OwnershipTask::isAway() const -> bool
+{
+    return lastRenewedAt_ > 0 && bootMs() - lastRenewedAt_ > kAwayMs;
+}
+
 // Looks for partitions that nobody owns.
 auto OwnershipTask::watch() -> void
 {
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -32,6 +32,28 @@
 // [SECTION] Router task
 //-----------------------------------------------------------------------------
 
+auto OwnerReach::onAnswer(const std::string &address, bool isWhole) -> void
+{
+    if (isWhole) {
+        silent_.erase(address);
+    } else {
+        silent_.insert(address);
+    }
+}
+
+auto OwnerReach::mayCall(const std::string &address, bool isAway) -> bool
+{
+    if (!isAway) {
+        silent_.clear();
+    }
+    return !silent_.contains(address);
+}
+
+auto OwnerReach::mayTryAgain(TimeMs now, TimeMs deadline, TimeMs retryMs, bool isAway) const -> bool
+{
+    return !isAway && now + retryMs < deadline;
+}
+
 RouterTask::RouterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
                        PoolsTask &pools, OwnershipTask &ownership)
     : loop_(loop), peers_(peers), settings_(settings), pools_(pools), ownership_(ownership)
@@ -58,13 +80,20 @@
         onAnswer(trip, {PoolStatus::NotOwner, JobState::Queued, 0, "the pool has no owner", 0});
         return;
     }
+    if (!reach_.mayCall(address, ownership_.isAway())) {
+        onAnswer(trip,
+                 {PoolStatus::NotOwner, JobState::Queued, 0,
+                  "neither the store nor the pool's owner can be reached", 0});
+        return;
+    }
     const auto timeout = std::min(settings_.ownerCallMs, trip->deadline - now);
     auto       call = HttpCall{"POST",
                          std::string(kPoolsPath),
                          {{"Content-Type", "application/msgpack"}},
                          packCall(trip->call),
                          timeout};
-    peers_.request(address, std::move(call), [slot](const HttpResult &result) {
+    peers_.request(address, std::move(call), [this, address, slot](const HttpResult &result) {
+        reach_.onAnswer(address, result.isWhole);
         if (!result.isWhole) {
             slot({result.isWritten ? PoolStatus::Unknown : PoolStatus::NotOwner, JobState::Queued,
                   0, "the pool's owner: " + result.error, 0});
@@ -88,7 +117,9 @@
         trip->slot(answer);
         return;
     }
-    if (bootMs() + settings_.routeRetryMs >= trip->deadline || isRefused) {
+    const auto mayTryAgain =
+        reach_.mayTryAgain(bootMs(), trip->deadline, settings_.routeRetryMs, ownership_.isAway());
+    if (isRefused || !mayTryAgain) {
         auto last = answer;
         last.status = trip->isUnknown ? PoolStatus::Unknown : PoolStatus::NotOwner;
         trip->slot(last);
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -142,6 +142,28 @@
 } // namespace
 
 // The scheduler of a pool that was handed over must not come back under its old token.
+Test(node, a_node_away_from_the_store_gives_callers_their_answer_at_once)
+{
+    const auto reach = OwnerReach();
+    cr_assert(reach.mayTryAgain(1'000, 4'000, 100, false));
+    cr_assert_not(reach.mayTryAgain(3'900, 4'000, 100, false));
+    cr_assert_not(reach.mayTryAgain(1'000, 4'000, 100, true)); // It can't learn of a new owner.
+}
+
+Test(node, an_owner_that_doesnt_answer_is_called_again_once_the_store_is_reached)
+{
+    auto reach = OwnerReach();
+    cr_assert(reach.mayCall("a", true)); // Nothing speaks against it yet.
+    reach.onAnswer("a", false);
+    cr_assert_not(reach.mayCall("a", true));
+    cr_assert(reach.mayCall("b", true));
+    reach.onAnswer("a", true); // A call that was under way.
+    cr_assert(reach.mayCall("a", true));
+    reach.onAnswer("a", false);
+    cr_assert(reach.mayCall("a", false));
+    cr_assert(reach.mayCall("a", true)); // What was seen before the store came back is no use.
+}
+
 Test(node, a_planned_stop_ends_ownership_for_good)
 {
     auto node = NodeFixture();
