--- a/tests/packages/test_packages.py
+++ b/tests/packages/test_packages.py
@@ -62,27 +62,22 @@
         self.addCleanup(scratch.cleanup)
         self.tree = check.make_checkout(pathlib.Path(scratch.name))
 
-    def append(self, name, text):
-        path = self.tree / name
-        path.write_text(path.read_text() + text)
-        return path.resolve()
-
     def compare(self, *sources):
         used, unowned = check.find_owners(check.find_used_files(self.tree, set(sources)))
         return [line for line in check.compare(used, unowned, check.read_deploy(self.tree)[1])
                 if line.startswith("not listed")]
 
     def test_new_include_is_noticed(self):
-        source = self.append("src/base/base.cpp", "#include <criterion/criterion.h>\n")
-        self.assertRegex("\n".join(self.compare(source)), r"not listed: libcriterion-dev \(/usr/include/criterion/")
+        source = self.tree / "src/base/base.cpp"
+        source.write_text(source.read_text() + "#include <criterion/criterion.h>\n")
+        self.assertRegex("\n".join(self.compare(source.resolve())), r"not listed: libcriterion-dev \(/usr/include/criterion/")
 
     def test_new_library_and_tool_are_noticed(self):
-        self.append("CMakeLists.txt", "target_link_libraries(peridotwalk PRIVATE criterion)\n"
-                                      "find_program(FORMATTER clang-format-14 clang-format REQUIRED)\n")
         path = self.tree / "CMakeLists.txt"
         text = path.read_text()
         at = text.index("if(NOT PERIDOTWALK_DEVELOPER)")
-        added = text[text.index("target_link_libraries(peridotwalk PRIVATE criterion)"):]
+        added = ("target_link_libraries(peridotwalk PRIVATE criterion)\n"
+                 "find_program(FORMATTER clang-format-14 clang-format REQUIRED)\n")
         path.write_text(text[:at] + added + text[at:])
         lines = "\n".join(self.compare())
         self.assertRegex(lines, r"not listed: libcriterion-dev \(/usr/lib/.*libcriterion\.so\)")
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -141,7 +141,6 @@
 
 } // namespace
 
-// The scheduler of a pool that was handed over must not come back under its old token.
 Test(node, a_node_away_from_the_store_gives_callers_their_answer_at_once)
 {
     const auto reach = OwnerReach();
@@ -164,6 +163,7 @@
     cr_assert(reach.mayCall("a", true)); // What was seen before the store came back is no use.
 }
 
+// The scheduler of a pool that was handed over must not come back under its old token.
 Test(node, a_planned_stop_ends_ownership_for_good)
 {
     auto node = NodeFixture();
