Coordinator's record names cordoned workers; a job is pending until a run is confirmed

The record lists the workers too, and hands them on. countPending() counts jobs until a worker confirms a run of theirs. Tests failed first: planner/a_new_coordinator_keeps_the_workers_of_called_machines_cordoned, pool/a_job_is_pending_until_a_worker_confirms_a_run. Records of the version before are read.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -123,6 +123,7 @@
 struct CoordinatorRecord {
     std::map<std::string, std::set<std::string>> maintained; // Finished machines, by wave.
     std::set<std::string>                        called; // Machines called in the last few seconds.
+    std::set<std::string> cordoned; // Workers of machines called a while ago, perhaps still listed.
 
     auto operator==(const CoordinatorRecord &) const -> bool = default;
 };
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -20,6 +20,9 @@
         machine.retryAt = now + settings_.takeoverDelayMs;
         machine.maintainedAt = now;
     }
+    for (const auto &worker : before.cordoned) {
+        cordonedUntil_[worker] = now + settings_.calledCordonMs;
+    }
 }
 
 auto MachinePlanner::setWaves(TimeMs now, const std::map<std::string, WaveOrder> &waves) -> void
@@ -254,6 +257,11 @@
             record.called.insert(name);
         }
     }
+    for (const auto &[worker, until] : cordonedUntil_) {
+        if (now < until) {
+            record.cordoned.insert(worker);
+        }
+    }
     const auto isDue = !callsToRecord_.empty() || record.maintained != lastRecord_.maintained;
     if (!isDue) {
         return;
--- a/src/coordinator/record.cpp
+++ b/src/coordinator/record.cpp
@@ -7,7 +7,7 @@
 {
     namespace adaptor {
 
-    PERIDOTWALK_WIRE(CoordinatorRecord, v.maintained, v.called)
+    PERIDOTWALK_WIRE(CoordinatorRecord, v.maintained, v.called, v.cordoned)
 
     } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -91,6 +91,7 @@
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
                     const auto &task = occurrence.steps[step][index];
+                    entry.hasBegun = entry.hasBegun || task.isDone || task.failures > 0;
                     if (!task.isLive()) {
                         continue;
                     }
@@ -206,6 +207,7 @@
         task->worker.clear();
         task->phase = RunPhase::None;
     }
+    entry.hasBegun = entry.hasBegun || end == RunEnd::Done || end == RunEnd::Failed;
     if (end == RunEnd::Done && !stepOf(entry, ref).isUnbounded) {
         worker.consecutiveFailures = 0;
         task->isDone = true;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -154,8 +154,7 @@
 {
     return std::ranges::count_if(state_->active_, [&](const std::string &id) {
         const auto &entry = state_->jobs_.at(id);
-        return entry.isRecorded && entry.job.spec.queue == queue
-            && entry.job.state == JobState::Queued;
+        return entry.isRecorded && entry.job.spec.queue == queue && !entry.hasBegun;
     });
 }
 
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -73,6 +73,7 @@
     Job      job;
     JobState recorded = JobState::Queued; // State in the journal.
     bool     isRecorded = false;          // The journal has the job.
+    bool     hasBegun = false;            // A worker has confirmed a run, or a run has ended.
     TimeMs   nextExplainAt = 0;           // Earliest time of the next log event on why it waits.
 };
 
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -248,7 +248,9 @@
     if (reply.outcome == CallOutcome::Done) {
         run.isConfirmed = true;
         run.confirmedAt = now.steadyMs;
-        auto *task = findTask(jobs_.at(sent.order.task.job).job, sent.order.task);
+        auto &entry = jobs_.at(sent.order.task.job);
+        entry.hasBegun = true;
+        auto *task = findTask(entry.job, sent.order.task);
         if (!run.isStopping) {
             task->phase = RunPhase::Running;
             task->changedAt = now.steadyMs;
@@ -438,6 +440,7 @@
         run.percent = row.percent;
         run.usage = row.usage;
         auto &entry = jobs_.at(row.task.job);
+        entry.hasBegun = true;
         auto *task = findTask(entry.job, row.task);
         if (!row.checkpoint.empty()) {
             task->checkpoint = row.checkpoint;
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -441,6 +441,49 @@
     cr_assert(fleet.worker(0).isCordoned); // Its old entry may still be listed as ready.
 }
 
+// The store may list the worker of a machine that the previous coordinator called for seconds after it has
+// stopped. Work placed there would wait for the lease of a dead worker.
+Test(planner, a_new_coordinator_keeps_the_workers_of_called_machines_cordoned)
+{
+    auto first = Fleet(9, withoutMoves());
+    first.worker(0).runs = 0;
+    first.planner().setWaves(first.now(), makeWave(1, 1));
+    first.run(1'000);
+    cr_assert_eq(first.maintained.size(), 1U);
+    const auto before = findCoordinator({encodeCoordinator(first.records.back().record)});
+    cr_assert(before.ok());
+    auto second = Fleet(9, withoutMoves(), *before);
+    second.machine(0).worker = "w0-new"; // The list of machines has moved on.
+    second.run(6'000);
+    cr_assert(second.worker(0).isCordoned);
+    // A third one takes over while the second has called no machine itself.
+    second.worker(1).runs = 0;
+    auto wave = makeWave(2, 2);
+    wave.at("1").machines.erase(wave.at("1").machines.begin());
+    second.planner().setWaves(second.now(), wave);
+    second.run(1'000);
+    const auto next = findCoordinator({encodeCoordinator(second.records.back().record)});
+    cr_assert(next.ok());
+    auto third = Fleet(9, withoutMoves(), *next);
+    third.machine(0).worker = "w0-new";
+    third.run(1'000);
+    cr_assert(third.worker(0).isCordoned);
+    third.run(14'000);
+    cr_assert_not(third.worker(0).isCordoned);
+}
+
+Test(planner, a_record_of_a_version_without_cordons_is_read)
+{
+    auto before = CoordinatorRecord{};
+    before.called = {"m0"};
+    auto record = encodeCoordinator(before);
+    record.value[0] = static_cast<char>(0x92); // An array of two fields, as written before.
+    record.value.pop_back();
+    const auto read = findCoordinator({record});
+    cr_assert(read.ok());
+    cr_assert(read->called.contains("m0"));
+}
+
 Test(planner, a_pool_that_cant_use_its_machines_gets_others)
 {
     auto fleet = Fleet(12);
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -292,6 +292,24 @@
     cr_assert(world.owner().report().tenants.front().used.cpu == 3'000);
 }
 
+// A start order that stays unanswered has perhaps started nothing, so the job still waits for its callers.
+Test(pool, a_job_is_pending_until_a_worker_confirms_a_run)
+{
+    auto world = PoolWorld(1, {}, 1);
+    world.run(300);
+    world.isolate(world.workers().begin()->first);
+    world.submit(makeJob("a", {makeStep(1, 500)}));
+    world.run(100);
+    cr_assert_eq(world.owner().countRuns(), 1U);
+    cr_assert_eq(world.owner().countPending("queue"), 1);
+    world.takeOver();
+    world.run(100);
+    cr_assert_eq(world.owner().countPending("queue"), 1);
+    world.workers().begin()->second.isIsolated = false;
+    world.run(900);
+    cr_assert_eq(world.owner().countPending("queue"), 0);
+}
+
 // More machines don't help a tenant that has used up its allowance; a pool that requested them would
 // keep them idle.
 Test(pool, work_beyond_an_allowance_requests_no_machines)
