--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -9,6 +9,7 @@
 // [SECTION] Quota ledger
 // [SECTION] Demand forecast
 // [SECTION] Coordinator's record
+// [SECTION] Machine division
 // [SECTION] Machine planner
 
 #pragma once
@@ -16,6 +17,7 @@
 #include "services/services.h"
 
 #include <optional>
+#include <span>
 
 namespace peridotwalk {
 
@@ -38,6 +40,7 @@
     std::int64_t unboundedCpu = 0;   // Reserved by unbounded tasks, in thousandths of a core.
     bool         isCordoned = false; // The coordinator allows no new runs there.
     bool         isUsable = false;   // Could get new runs, apart from a cordon.
+    std::int64_t expiredCpu = 0;     // Part of `cpu` reserved by jobs past any use of their result.
 };
 
 struct PoolReport {
@@ -45,8 +48,11 @@
     std::int64_t              token = 0; // Fencing token of the pool's owner.
     std::vector<TenantReport> tenants;
     std::vector<WorkerLoad>   workers;
-    ResourceSet               wanted;    // Needed by tasks that lack only a worker with capacity.
+    // Needed by tasks that lack only a worker with capacity: those that can still be on time, and
+    // unbounded ones.
+    ResourceSet               wanted;
     ResourceSet               perWorker; // Largest cpu and memory of any worker. Zero: no workers.
+    ResourceSet wantedLate; // As `wanted`, by tasks of late jobs. Expired ones request nothing.
 };
 
 struct TenantGrant {
@@ -133,6 +139,24 @@
 // Returns an empty record if none was written yet, and an error for a record that can't be decoded.
 auto findCoordinator(const std::vector<KeyedRecord> &records) -> absl::StatusOr<CoordinatorRecord>;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Machine division
+//-----------------------------------------------------------------------------
+
+// Machines that a pool needs, in stages. Each stage includes the ones before it.
+struct PoolDemand {
+    std::int64_t required = 0; // For unbounded tasks, and to be able to start anything.
+    std::int64_t onTime = 0;   // For all work that can still be on time.
+    std::int64_t late = 0;     // For late work that is still of use, too.
+    std::int64_t expected = 0; // For a burst that has just begun to reach the last peak.
+};
+
+// Divides machines between pools that together need more than there are, as when several bursts meet:
+// stage by stage, and within the stage that can't be met, the same part of each pool's need. Returns the
+// machines of each pool, at most its need.
+auto divideMachines(std::span<const PoolDemand> pools, std::int64_t machines)
+    -> std::vector<std::int64_t>;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Machine planner
 //-----------------------------------------------------------------------------
@@ -156,7 +180,11 @@
     double       headroomFactor = 1.03;     // Wanted capacity, as a multiple of demand.
     double       burstGrowthFactor = 1.5;   // Minimum growth assumed of a burst that begins.
     double       minBurstMachines = 2.0;    // Minimum demand of a burst, in machines.
-    std::int64_t minMachines = 3;           // Minimum number of machines that a pool wants.
+    double       yieldFactor = 1.15; // A pool with more than that of its need gives busy machines up,
+    TimeMs       yieldAfterMs = 500; // once it has had them for this long while another lacks some.
+    double       minBurstFraction = 0.2; // Minimum demand of a burst, of the highest peak of any pool.
+    std::int64_t minMachines = 3;    // Minimum number of machines that a pool wants.
+    std::int64_t maxFloorMachines = 40; // The minimum sizes below are at most this.
     // Minimum size of a pool, as a fraction of an even split of all machines between active pools.
     double       standbyFloorFraction = 0.42; // For moves to the standby pool.
     double       moveFloorFraction = 0.3;     // For moves to a pool in shortage.
@@ -246,12 +274,15 @@
         TimeMs                            blockedSince = -1; // Tasks lack a worker. -1: none do.
         TimeMs                            reportedAt = -1;   // -1: never.
         TimeMs                            ownerSince = 0;    // First report of this owner.
+        TimeMs                            overSince = -1;    // It has more than it needs. -1: no.
     };
 
     auto planWaves(TimeMs now) -> void;
     auto planWave(TimeMs now, Wave &wave) -> void;
     auto countUnavailable(TimeMs now, const Wave &wave) -> std::int64_t;
-    auto allowedAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t;
+    auto neededAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t;
+    auto isSpare(TimeMs now, const Machine &machine) const -> bool; // No pool would miss it.
+    auto runsOn(const Machine &machine) const -> std::int64_t;      // -1: no worker is reported.
     auto mayBeDown(TimeMs now, const Machine &machine) const -> bool; // In maintenance.
     auto isRemoved(TimeMs now, const Machine &machine) const -> bool;
     auto recordCalls(TimeMs now) -> void;
@@ -263,19 +294,29 @@
     auto isStandby(std::string_view pool) const -> bool;
     // Numbers of machines.
     struct Balance {
+        std::int64_t have = 0;    // Usable ones, and those on their way.
+        std::int64_t target = 0;  // The pool's part of all machines.
         std::int64_t missing = 0; // The pool's shortage.
         std::int64_t movable = 0; // May move to a pool in shortage.
         std::int64_t surplus = 0; // May move to the standby pool.
     };
+    using Balances = std::map<std::string, Balance, std::less<>>;
 
-    auto balanceOf(TimeMs now, const std::string &name, const Pool &pool) const -> Balance;
-    auto desiredMachines(TimeMs now, const Pool &pool, std::int64_t have) const -> std::int64_t;
-    auto choosePoolInShortage(const std::map<std::string, Balance> &balances,
-                              const Machine                        &machine) const -> std::string;
+    auto balancePools(TimeMs now) -> Balances;
+    auto demandOf(TimeMs now, const Pool &pool, std::int64_t have) const -> PoolDemand;
+    auto choosePoolInShortage(const Balances &balances, const Machine &machine) const
+        -> std::string;
     auto highestPeak() const -> std::int64_t;
     auto findIdleMachines(TimeMs now) -> std::vector<Machine *>;
-    auto countCordoned(std::string_view pool) const -> std::int64_t;
-    auto countMachines(std::string_view pool) const -> std::int64_t;
+    auto moveIdleMachines(TimeMs now, Balances &balances) -> void;
+    auto yieldBusyMachines(TimeMs now, Balances &balances) -> void;
+    auto countOnStandby(TimeMs now) const -> std::int64_t;
+    // Machines of a pool, for the limit of what may be drained at a time.
+    struct DrainCount {
+        std::int64_t machines = 0; // That it has or will get, without those to be drained.
+        std::int64_t drained = 0;  // Being drained for a wave.
+    };
+    auto countDrained() const -> std::map<std::string, DrainCount, std::less<>>;
     auto countUsable(TimeMs now, std::string_view pool) const -> std::int64_t;
     auto callMachine(TimeMs now, const std::string &name, Machine &machine) -> void;
     auto markCalled(TimeMs now, Machine &machine) -> void;
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -76,11 +76,13 @@
     auto demand = report.wanted.cpu;
     for (const auto &worker : report.workers) {
         pool.workers[worker.id] = worker;
-        demand += worker.cpu;
+        demand += worker.cpu - worker.expiredCpu;
     }
-    pool.forecast.add(now, demand,
-                      static_cast<std::int64_t>(settings_.minBurstMachines
-                                                * static_cast<double>(report.perWorker.cpu)));
+    // A few jobs of a pool in a trough are no burst, if a burst is hundreds of jobs elsewhere.
+    const auto leastBurst =
+        std::max(settings_.minBurstMachines * static_cast<double>(report.perWorker.cpu),
+                 settings_.minBurstFraction * static_cast<double>(highestPeak()));
+    pool.forecast.add(now, demand, static_cast<std::int64_t>(leastBurst));
     if (report.wanted == ResourceSet{}) {
         pool.blockedSince = -1;
     } else if (pool.blockedSince < 0) {
@@ -336,16 +338,14 @@
     return standby_.contains(pool);
 }
 
-// Counts machines that the pool has or will get, without those that are down or to be drained.
-auto MachinePlanner::countMachines(std::string_view pool) const -> std::int64_t
+auto MachinePlanner::countOnStandby(TimeMs now) const -> std::int64_t
 {
     return std::ranges::count_if(machines_, [&](const auto &item) {
         const auto &machine = item.second;
-        const auto  isComing = machine.wantedPool == pool;
-        const auto  isHere = machine.isListed && machine.entry.pool == pool
-            && machine.entry.state != MachineState::Down && machine.wantedPool.empty()
-            && machine.wantedWave.empty();
-        return isComing || isHere;
+        return isStandby(machine.entry.pool) && machine.isListed
+            && machine.entry.state == MachineState::Up && machine.wantedPool.empty()
+            && machine.wantedWave.empty() && !machine.isCalling && !isUnavailable(now, machine)
+            && !evacuated_.contains(machine.entry.zone);
     });
 }
 
@@ -370,12 +370,22 @@
     });
 }
 
-// Counts the pool's machines that are being drained for a wave.
-auto MachinePlanner::countCordoned(std::string_view pool) const -> std::int64_t
+auto MachinePlanner::countDrained() const -> std::map<std::string, DrainCount, std::less<>>
 {
-    return std::ranges::count_if(machines_, [&](const auto &item) {
-        return item.second.entry.pool == pool && !item.second.wantedWave.empty();
-    });
+    auto counts = std::map<std::string, DrainCount, std::less<>>();
+    for (const auto &[name, machine] : machines_) {
+        const auto isHere = machine.isListed && machine.entry.state != MachineState::Down
+            && machine.wantedPool.empty() && machine.wantedWave.empty();
+        if (!machine.wantedPool.empty()) {
+            ++counts[machine.wantedPool].machines;
+        } else if (isHere) {
+            ++counts[machine.entry.pool].machines;
+        }
+        if (!machine.wantedWave.empty()) {
+            ++counts[machine.entry.pool].drained;
+        }
+    }
+    return counts;
 }
 
 auto MachinePlanner::cordonedWorkers(TimeMs now, std::string_view pool) const
--- a/src/coordinator/moves.cpp
+++ b/src/coordinator/moves.cpp
@@ -20,59 +20,82 @@
     return peak;
 }
 
-auto MachinePlanner::desiredMachines(TimeMs now, const Pool &pool, std::int64_t have) const
-    -> std::int64_t
+auto MachinePlanner::demandOf(TimeMs now, const Pool &pool, std::int64_t have) const -> PoolDemand
 {
     const auto &unit = pool.report.perWorker;
+    const auto  least = std::max(settings_.minMachines, std::int64_t{1});
     if (unit.cpu <= 0 || unit.memoryMb <= 0) {
-        return std::max(have, settings_.minMachines);
+        const auto machines = std::max(have, least);
+        return {machines, machines, machines, machines};
     }
-    auto         timedDemand = pool.report.wanted.cpu;
-    std::int64_t unboundedDemand = 0;
+    auto         timedCpu = pool.report.wanted.cpu;
+    std::int64_t unboundedCpu = 0;
     std::int64_t unboundedWorkers = 0;
     for (const auto &[id, worker] : pool.workers) {
-        timedDemand += worker.cpu;
-        unboundedDemand += worker.unboundedCpu;
+        timedCpu += worker.cpu - worker.expiredCpu;
+        unboundedCpu += worker.unboundedCpu;
         unboundedWorkers += worker.unboundedRuns > 0 ? 1 : 0;
     }
-    if (pool.forecast.isRising(now)) {
-        const auto grown = static_cast<std::int64_t>(settings_.burstGrowthFactor
-                                                     * static_cast<double>(timedDemand));
-        timedDemand = std::max(grown, highestPeak());
-    }
-    const auto toMachines = [&](std::int64_t amount, std::int64_t of) {
+    const auto toMachines = [&](std::int64_t cpu) {
         return static_cast<std::int64_t>(std::ceil(
-            static_cast<double>(amount) * settings_.headroomFactor / static_cast<double>(of)));
+            static_cast<double>(cpu) * settings_.headroomFactor / static_cast<double>(unit.cpu)));
     };
-    auto desired = std::max({settings_.minMachines, unboundedWorkers,
-                             toMachines(timedDemand + unboundedDemand, unit.cpu)});
+    auto demand = PoolDemand{};
+    demand.required = std::max({least, unboundedWorkers, toMachines(unboundedCpu)});
+    demand.onTime = std::max(demand.required, toMachines(unboundedCpu + timedCpu));
     if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedTimeoutMs) {
-        desired = std::max(desired, have + 1);
+        demand.onTime = std::max(demand.onTime, have + 1);
+    }
+    demand.late = std::max(demand.onTime,
+                           toMachines(unboundedCpu + timedCpu + pool.report.wantedLate.cpu));
+    demand.expected = demand.late;
+    if (pool.forecast.isRising(now)) {
+        const auto grown = static_cast<std::int64_t>(settings_.burstGrowthFactor
+                                                     * static_cast<double>(timedCpu));
+        demand.expected = std::max(
+            demand.late, toMachines(unboundedCpu + std::max(grown, highestPeak())));
     }
-    return desired;
+    return demand;
 }
 
-// A pool keeps enough machines to work without a coordinator for a while.
-auto MachinePlanner::balanceOf(TimeMs now, const std::string &name, const Pool &pool) const
-    -> Balance
+// Divides all machines that are usable. A pool keeps enough of them to work without a coordinator for a
+// while.
+auto MachinePlanner::balancePools(TimeMs now) -> Balances
 {
+    auto balances = Balances();
+    auto demands = std::vector<PoolDemand>();
+    auto machines = countOnStandby(now);
+    for (const auto &[name, pool] : pools_) {
+        if (active_.contains(name) && now - pool.reportedAt <= settings_.maxReportAgeMs) {
+            auto &balance = balances[name];
+            balance.have = countUsable(now, name);
+            machines += balance.have;
+            demands.push_back(demandOf(now, pool, balance.have));
+        }
+    }
+    const auto targets = divideMachines(demands, machines);
     const auto even = static_cast<double>(machines_.size())
         / static_cast<double>(std::max<std::size_t>(1, active_.size()));
-    const auto minSize = [&](double of) { return static_cast<std::int64_t>(of * even); };
-    const auto have = countUsable(now, name);
-    const auto desired = desiredMachines(now, pool, have);
-    auto       balance = Balance{};
-    balance.missing = std::max<std::int64_t>(0, desired - have);
-    balance.movable =
-        std::max<std::int64_t>(0, have - std::max(desired, minSize(settings_.moveFloorFraction)));
-    balance.surplus = std::max<std::int64_t>(
-        0, have - std::max(desired, minSize(settings_.standbyFloorFraction)));
-    return balance;
+    const auto minSize = [&](double fraction) {
+        return std::min(settings_.maxFloorMachines, static_cast<std::int64_t>(fraction * even));
+    };
+    std::size_t number = 0;
+    for (auto &[name, balance] : balances) {
+        const auto left = [&](double floorFraction) {
+            return std::max<std::int64_t>(
+                0, balance.have - std::max(balance.target, minSize(floorFraction)));
+        };
+        balance.target = targets[number++];
+        balance.missing = std::max<std::int64_t>(0, balance.target - balance.have);
+        balance.movable = left(settings_.moveFloorFraction);
+        balance.surplus = left(settings_.standbyFloorFraction);
+    }
+    return balances;
 }
 
 // Returns the pool with the largest shortage. Empty: no pool is in shortage that may get this machine.
-auto MachinePlanner::choosePoolInShortage(const std::map<std::string, Balance> &balances,
-                                          const Machine &machine) const -> std::string
+auto MachinePlanner::choosePoolInShortage(const Balances &balances, const Machine &machine) const
+    -> std::string
 {
     auto         poolInShortage = std::string();
     std::int64_t most = 0;
@@ -112,15 +135,18 @@
     return idle;
 }
 
-// Moves standby and idle machines to pools in shortage, and machines that no pool needs to standby.
 auto MachinePlanner::planMoves(TimeMs now) -> void
 {
-    auto balances = std::map<std::string, Balance>();
-    for (const auto &[name, pool] : pools_) {
-        if (active_.contains(name) && now - pool.reportedAt <= settings_.maxReportAgeMs) {
-            balances[name] = balanceOf(now, name, pool);
-        }
-    }
+    auto balances = balancePools(now);
+    moveIdleMachines(now, balances);
+    yieldBusyMachines(now, balances);
+    hasShortage_ =
+        std::ranges::any_of(balances, [](const auto &item) { return item.second.missing > 0; });
+}
+
+// Moves standby and idle machines to pools in shortage, and machines that no pool needs to standby.
+auto MachinePlanner::moveIdleMachines(TimeMs now, Balances &balances) -> void
+{
     for (auto *machine : findIdleMachines(now)) {
         auto      &from = balances[machine->entry.pool];
         const auto isOnStandby = isStandby(machine->entry.pool);
@@ -138,12 +164,57 @@
             continue;
         }
         if (!isOnStandby && !isEvacuated) {
+            --from.have;
             --from.movable;
             --from.surplus;
         }
     }
-    hasShortage_ =
-        std::ranges::any_of(balances, [](const auto &item) { return item.second.missing > 0; });
+}
+
+// Drains busy machines of pools that have clearly more than their part, while another pool lacks some.
+// That happens when expired work fills a pool, or when bursts meet. Machines with unbounded tasks stay.
+auto MachinePlanner::yieldBusyMachines(TimeMs now, Balances &balances) -> void
+{
+    const auto isOver = [&](const Balance &balance) {
+        return static_cast<double>(balance.have)
+            > settings_.yieldFactor * static_cast<double>(balance.target);
+    };
+    for (auto &[name, pool] : pools_) {
+        const auto found = balances.find(name);
+        if (found == balances.end() || !isOver(found->second)) {
+            pool.overSince = -1;
+        } else if (pool.overSince < 0) {
+            pool.overSince = now;
+        }
+    }
+    auto busy = std::vector<std::pair<std::int64_t, Machine *>>(); // By cpu that is of use.
+    for (auto &[name, machine] : machines_) {
+        const auto pool = pools_.find(machine.entry.pool);
+        if (pool == pools_.end() || pool->second.overSince < 0
+            || now - pool->second.overSince < settings_.yieldAfterMs || !machine.isListed
+            || machine.entry.state != MachineState::Up || machine.isCalling
+            || !machine.wantedWave.empty() || !machine.wantedPool.empty() || now < machine.retryAt
+            || isUnavailable(now, machine)) {
+            continue;
+        }
+        const auto worker = pool->second.workers.find(machine.entry.worker);
+        if (worker != pool->second.workers.end() && worker->second.runs > 0
+            && worker->second.unboundedRuns == 0) {
+            busy.emplace_back(worker->second.cpu - worker->second.expiredCpu, &machine);
+        }
+    }
+    std::ranges::stable_sort(busy, {}, [](const auto &item) { return item.first; });
+    for (const auto &[cpu, machine] : busy) {
+        auto      &from = balances[machine->entry.pool];
+        const auto poolInShortage = choosePoolInShortage(balances, *machine);
+        if (poolInShortage.empty() || from.movable <= 0 || !isOver(from)) {
+            continue;
+        }
+        machine->wantedPool = poolInShortage;
+        --balances[poolInShortage].missing;
+        --from.have;
+        --from.movable;
+    }
 }
 
 } // namespace peridotwalk
--- a/src/coordinator/waves.cpp
+++ b/src/coordinator/waves.cpp
@@ -62,11 +62,11 @@
     });
 }
 
-// Returns how many machines of a wave may be out at a time: its limit while no pool is in shortage,
-// otherwise as few as it needs to finish in time.
-auto MachinePlanner::allowedAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t
+// Returns how many machines of a wave have to be out at a time for it to finish in time. The start of a
+// restored wave isn't known.
+auto MachinePlanner::neededAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t
 {
-    if (!hasShortage_ || wave.isRestored) { // The start of a restored wave isn't known.
+    if (wave.isRestored) {
         return wave.order.maxAtOnce;
     }
     const auto remaining = std::ssize(wave.order.machines) - std::ssize(wave.done);
@@ -80,7 +80,24 @@
     return std::min(needed, wave.order.maxAtOnce);
 }
 
-// Chooses machines to drain next, those with the fewest runs first, within the limit of each pool.
+// Returns whether nothing runs on the machine, and no pool waits for machines.
+auto MachinePlanner::isSpare(TimeMs now, const Machine &machine) const -> bool
+{
+    return !hasShortage_ && (isStandby(machine.entry.pool) || hasNoRuns(now, machine));
+}
+
+auto MachinePlanner::runsOn(const Machine &machine) const -> std::int64_t
+{
+    const auto pool = pools_.find(machine.entry.pool);
+    if (pool == pools_.end()) {
+        return -1;
+    }
+    const auto worker = pool->second.workers.find(machine.entry.worker);
+    return worker == pool->second.workers.end() ? -1 : worker->second.runs;
+}
+
+// Chooses machines to drain next, those with the fewest runs first, within the limit of each pool. Spare
+// ones go up to the wave's limit, others only as fast as the wave needs.
 auto MachinePlanner::planWave(TimeMs now, Wave &wave) -> void
 {
     auto waiting = std::vector<Machine *>();
@@ -106,32 +123,30 @@
         wave.isWriting = true;
         actions_.push_back(WriteWaveState{wave.order.name, false});
     }
+    std::ranges::sort(waiting, {}, [&](const Machine *machine) { return runsOn(*machine); });
     auto       unavailable = countUnavailable(now, wave);
-    const auto allowed = allowedAtOnce(now, wave);
-    const auto runsOf = [&](const Machine *machine) {
-        const auto pool = pools_.find(machine->entry.pool);
-        if (pool == pools_.end()) {
-            return std::int64_t{-1};
-        }
-        const auto worker = pool->second.workers.find(machine->entry.worker);
-        return worker == pool->second.workers.end() ? -1 : worker->second.runs;
-    };
-    std::ranges::sort(waiting, {}, runsOf);
+    const auto needed = neededAtOnce(now, wave);
+    auto       counts = countDrained();
     for (auto *machine : waiting) {
-        if (unavailable >= allowed) {
+        if (unavailable >= wave.order.maxAtOnce) {
             return;
         }
-        const auto &pool = machine->entry.pool;
-        const auto  maxCordoned = std::max<std::int64_t>(
+        if (unavailable >= needed && !isSpare(now, *machine)) {
+            continue;
+        }
+        auto      &count = counts[machine->entry.pool];
+        const auto maxDrained = std::max<std::int64_t>(
             1,
             static_cast<std::int64_t>(settings_.maxCordonedFraction
-                                      * static_cast<double>(countMachines(pool))));
-        if (!isStandby(pool) && machine->isListed && countCordoned(pool) >= maxCordoned) {
+                                      * static_cast<double>(count.machines + count.drained)));
+        if (machine->isListed && count.drained >= maxDrained) {
             continue;
         }
         machine->wantedWave = wave.order.name;
         machine->wantedPool.clear();
         ++unavailable;
+        ++count.drained;
+        --count.machines;
     }
 }
 
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr TimeMs kIdleCheckMs = 1'000;
+constexpr int    kUrgentPriority = 0;
 
 auto commandOf(const std::string &method) -> evhttp_cmd_type
 {
@@ -90,6 +91,12 @@
             != 0) {
             request_ = nullptr;
             finish({false, false, 0, {}, {}, "the request couldn't be made"});
+            return;
+        }
+        // To be set for each call: evhttp resets it when it connects.
+        if (call.isUrgent) {
+            bufferevent_priority_set(evhttp_connection_get_bufferevent(connection_),
+                                     kUrgentPriority);
         }
     }
 
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -14,6 +14,11 @@
 
 constexpr TimeMs kMsPerSecond = 1'000;
 constexpr TimeMs kNsPerMs = 1'000'000;
+// Events have the middle priority by default: kNormalPriority, if there are kPriorities.
+constexpr int    kPriorities = 2;
+constexpr int    kNormalPriority = 1;
+constexpr TimeMs kMaxDispatchMs = 5;       // Longest time, and most events, until the loop looks
+constexpr int    kMaxDispatchedEvents = 32; // for urgent events again.
 
 auto toTimeval(TimeMs ms) -> timeval
 {
@@ -46,7 +51,18 @@
 // [SECTION] Event loop
 //-----------------------------------------------------------------------------
 
-EventLoop::EventLoop() : base_(event_base_new()) { }
+// Urgent events are handled as soon as they are due, not after the hundreds of others of a busy loop. libevent
+// reads 4 KB of a connection at a time, so a large answer needs many rounds of the loop.
+EventLoop::EventLoop()
+{
+    auto      *config = event_config_new();
+    const auto interval = toTimeval(kMaxDispatchMs);
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_config_set_max_dispatch_interval(config, &interval, kMaxDispatchedEvents, kNormalPriority);
+    base_ = event_base_new_with_config(config);
+    event_config_free(config);
+    event_base_priority_init(base_, kPriorities);
+}
 
 EventLoop::~EventLoop()
 {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -166,6 +166,7 @@
     std::string                        body;
     TimeMs                             timeoutMs = 1'000; // Counted from call(), after acquire().
     TimeMs                             sendBy = 0; // Not sent later, on bootMs(). 0: no limit.
+    bool isUrgent = false; // The answer is read before all other events of the loop.
 };
 
 // Sends calls and reports the result of each exactly once.
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t kMaxAmount = 1'000'000'000; // Keeps sums over 10,000 tasks inside 64 bits.
 constexpr std::int64_t kMaxWallMs = 100'000'000'000'000; // In the year 5138.
 
 auto badJob(std::string_view reason) -> absl::Status
@@ -66,11 +65,21 @@
     return *this;
 }
 
+auto ResourceSet::operator*(std::int64_t times) const -> ResourceSet
+{
+    return {cpu * times, memoryMb * times, accelerators * times};
+}
+
 auto ResourceSet::fits(const ResourceSet &free) const -> bool
 {
     return cpu <= free.cpu && memoryMb <= free.memoryMb && accelerators <= free.accelerators;
 }
 
+auto ResourceSet::isInRange() const -> bool
+{
+    return isAmount(cpu) && isAmount(memoryMb) && isAmount(accelerators);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Specification
 //-----------------------------------------------------------------------------
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -18,6 +18,8 @@
 // [SECTION] ResourceSet
 //-----------------------------------------------------------------------------
 
+constexpr std::int64_t kMaxAmount = 1'000'000'000; // Keeps sums over 10,000 tasks inside 64 bits.
+
 struct ResourceSet {
     std::int64_t cpu = 0; // Thousandths of a core.
     std::int64_t memoryMb = 0;
@@ -26,7 +28,9 @@
     auto operator==(const ResourceSet &) const -> bool = default;
     auto operator+=(const ResourceSet &other) -> ResourceSet &;
     auto operator-=(const ResourceSet &other) -> ResourceSet &;
+    auto operator*(std::int64_t times) const -> ResourceSet;
     auto fits(const ResourceSet &free) const -> bool; // No component exceeds that of `free`.
+    auto isInRange() const -> bool; // Each component is 0 to kMaxAmount.
 };
 
 //-----------------------------------------------------------------------------
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -159,6 +159,11 @@
             restored.errors.push_back(row.status());
             continue;
         }
+        const auto status = checkJob(row->spec);
+        if (!status.ok()) {
+            restored.errors.push_back(status);
+            continue;
+        }
         auto &job = restored.jobs[row->spec.id];
         job.spec = std::move(row->spec);
         job.acceptedAtMs = row->acceptedAtMs;
--- a/src/node/detour.cpp
+++ b/src/node/detour.cpp
@@ -145,8 +145,11 @@
     sendDirect(std::move(call), std::move(done));
 }
 
+// Terms, the journal and the directory come before the calls to workers, of which a busy owner has thousands
+// a second.
 auto DetourClient::sendDirect(HttpCall call, Done done) -> void
 {
+    call.isUrgent = true;
     connections_.request(
         store_, std::move(call), [this, done = std::move(done)](const HttpResult &result) {
             if (path_.isFailing() == isGood(result)) {
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -7,6 +7,8 @@
 // Longest wait of a poll for changes. Bounds the time until a lost connection is noticed.
 constexpr TimeMs kOperatorsPollMs = 700;
 constexpr TimeMs kOperatorsRetryMs = 200;
+// Longer than any lease: after that, a removed worker counts as one that was never seen.
+constexpr TimeMs kRemovedWorkersKeptMs = 120'000;
 
 } // namespace
 
@@ -77,13 +79,14 @@
                 apply(DirectorySource::Workers, *page);
             }
             isReadingWorkers_ = false;
+            const auto isBehind = page.ok() && !page->isCurrent;
             loop_.post(
                 [this] {
                     if (isMember_ && !isReadingWorkers_) {
                         readWorkers();
                     }
                 },
-                isOwner_ ? settings_.workersPollMs : settings_.idleWorkersPollMs);
+                isBehind ? 0 : isOwner_ ? settings_.workersPollMs : settings_.idleWorkersPollMs);
         });
 }
 
@@ -135,6 +138,9 @@
             }
         }
     }
+    std::erase_if(view_.removed, [](const auto &item) {
+        return bootMs() - item.second > kRemovedWorkersKeptMs;
+    });
     for (const auto &[id, report] : previous) {
         if (!view_.workers.contains(id)) {
             view_.removed[id] = bootMs();
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -15,8 +15,9 @@
     PERIDOTWALK_WIRE(PoolAnswer, v.status, v.state, v.count, v.reason, v.retryAfterMs)
     PERIDOTWALK_WIRE(TenantReport, v.tenant, v.allowance, v.used, v.wanted)
     PERIDOTWALK_WIRE(WorkerLoad, v.id, v.runs, v.unboundedRuns, v.cpu, v.unboundedCpu, v.isCordoned,
-                     v.isUsable)
-    PERIDOTWALK_WIRE(PoolReport, v.pool, v.token, v.tenants, v.workers, v.wanted, v.perWorker)
+                     v.isUsable, v.expiredCpu)
+    PERIDOTWALK_WIRE(PoolReport, v.pool, v.token, v.tenants, v.workers, v.wanted, v.perWorker,
+                     v.wantedLate)
     PERIDOTWALK_WIRE(TenantGrant, v.tenant, v.allowance)
     PERIDOTWALK_WIRE(PoolDirection, v.token, v.grants, v.cordoned)
 
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -164,8 +164,12 @@
 auto PeerServerTask::onCall(const HttpRequest &request) -> void
 {
     const auto call = unpackCall(request.body);
-    if (!call.ok()) {
-        refuse(request, call.status());
+    auto       status = call.status();
+    if (status.ok() && call->verb == PoolVerb::Submit) {
+        status = checkJob(call->spec);
+    }
+    if (!status.ok()) {
+        refuse(request, status);
         return;
     }
     pools_.handle(*call, [this, id = request.id](const PoolAnswer &answer) {
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -40,6 +40,7 @@
     report.pool = identity_.pool;
     report.token = identity_.token;
     report.wanted = wanted_;
+    report.wantedLate = wantedLate_;
     for (const auto &rule : view_.catalog.rules().tenants) {
         auto row = TenantReport{rule.name, {}, {}, {}};
         if (const auto held = allowances_.find(rule.name); held != allowances_.end()) {
@@ -57,18 +58,15 @@
         if (!worker.isListed) {
             continue;
         }
-        auto load = WorkerLoad{id,
-                               std::ssize(worker.runs),
-                               0,
-                               0,
-                               0,
-                               worker.isCordoned,
-                               mayStartOn(worker) && worker.holdFailures == 0};
-        for (const auto &[ref, run] : worker.runs) {
-            const auto &step = stepOf(jobs_.at(ref.job), ref);
-            load.unboundedRuns += step.isUnbounded ? 1 : 0;
-            (step.isUnbounded ? load.unboundedCpu : load.cpu) += run.need.cpu;
-        }
+        auto load = WorkerLoad{};
+        load.id = id;
+        load.runs = std::ssize(worker.runs);
+        load.unboundedRuns = worker.unboundedTasks;
+        load.cpu = worker.used.cpu - worker.unboundedCpu;
+        load.unboundedCpu = worker.unboundedCpu;
+        load.expiredCpu = worker.expiredCpu;
+        load.isCordoned = worker.isCordoned;
+        load.isUsable = mayStartOn(worker) && worker.holdFailures == 0;
         report.workers.push_back(load);
         report.perWorker.cpu = std::max(report.perWorker.cpu, worker.report.capacity.cpu);
         report.perWorker.memoryMb =
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -102,6 +102,7 @@
                     auto run = RunState{};
                     run.run = task.run;
                     run.need = capacityNeed(stepOf(entry, ref));
+                    run.isUnbounded = stepOf(entry, ref).isUnbounded;
                     run.isSent = true;
                     run.isRestored = true;
                     allocate(worker, ref, run);
@@ -164,18 +165,33 @@
     active_.erase(id);
     markChanged(id);
     logRunEvent("job.over", {id, 0, 0, 0}, 0, "", std::string(stateName(state)));
-    for (auto &[name, worker] : workers_) {
-        auto stopped = std::vector<TaskRef>();
-        for (const auto &[ref, run] : worker.runs) {
-            if (ref.job == id && !run.isStopping) {
-                stopped.push_back(ref);
+    stopRuns(now, entry);
+    needsSchedule_ = true;
+}
+
+auto PoolScheduler::State::stopRuns(Moment now, JobEntry &entry) -> void
+{
+    auto live = std::vector<std::pair<TaskRef, std::string>>();
+    for (const auto &[number, occurrence] : entry.job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                const auto &task = occurrence.steps[step][index];
+                if (task.isLive()) {
+                    live.emplace_back(TaskRef{entry.job.spec.id, number,
+                                              static_cast<std::int64_t>(step),
+                                              static_cast<std::int64_t>(index)},
+                                      task.worker);
+                }
             }
         }
-        for (const auto &ref : stopped) {
-            requestStop(now, worker, ref);
+    }
+    for (const auto &[ref, id] : live) {
+        const auto worker = workers_.find(id);
+        if (worker != workers_.end() && worker->second.runs.contains(ref)
+            && !worker->second.runs.at(ref).isStopping) {
+            requestStop(now, worker->second, ref);
         }
     }
-    needsSchedule_ = true;
 }
 
 // Records the end of a run and frees the capacity that it occupied. Repeated and outdated ends are
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -98,7 +98,7 @@
             const auto worker = workers_.find(ack->worker);
             if (worker != workers_.end() && worker->second.startedAtMs == ack->startedAtMs) {
                 worker->second.recordedEnd = std::max(worker->second.recordedEnd, ack->end);
-                worker->second.nextHoldAt = now.steadyMs;
+                worker->second.nextHoldAt = now.steadyMs + endDelay();
                 workersToTick_.insert(ack->worker);
             }
         }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -18,6 +18,7 @@
 // Outweighs all other scores: far from its data, work takes a multiple of the time.
 constexpr double kDataLocalityScore = 10;
 constexpr TimeMs kExplainIntervalMs = 1'000; // Least time between log events on one waiting job.
+constexpr int    kMaxExplanations = 4;       // Of one round. Each looks at all workers.
 constexpr TimeMs kPlacementStallMs = 300;    // Nothing is placed while an append takes longer.
 // Placement rounds are 1 ms further apart per this many active jobs. A round takes a few
 // microseconds per job, and a node with 0.25 of a core should spend less than a tenth of its time on
@@ -156,12 +157,18 @@
 // [SECTION] Placement
 //-----------------------------------------------------------------------------
 
+auto PoolScheduler::State::noteTick(Moment now) -> void
+{
+    isOverloaded_ = tickedAt_ > 0 && now.steadyMs - tickedAt_ > settings_.maxTickGapMs;
+    tickedAt_ = now.steadyMs;
+}
+
 auto PoolScheduler::State::schedule(Moment now) -> void
 {
     const auto isDue = nextDueMs_ > 0 && now.wallMs >= nextDueMs_;
     const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
-    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || !maySendStarts(now)
-        || now.steadyMs < scheduleAt_) {
+    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || isOverloaded_
+        || !maySendStarts(now) || now.steadyMs < scheduleAt_) {
         return;
     }
     needsSchedule_ = false;
@@ -172,7 +179,20 @@
     tenantWanted_.clear();
     tenantCovered_.clear();
     wanted_ = {};
-    for (const auto &step : findReadySteps(now)) {
+    wantedLate_ = {};
+    explanations_ = 0;
+    placed_ = 0;
+    const auto ready = findReadySteps(now);
+    if (ready.empty()) {
+        return;
+    }
+    for (auto &[id, worker] : workers_) {
+        if (isUsable(now, worker)) {
+            capacityIndex_.add(worker);
+        }
+    }
+    capacityIndex_.sort();
+    for (const auto &step : ready) {
         const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
         if (spec.isGang) {
             placeGang(now, step);
@@ -180,6 +200,8 @@
             placeStep(now, step);
         }
     }
+    capacityIndex_.clear();
+    needsSchedule_ = needsSchedule_ || isRoundFull();
 }
 
 auto PoolScheduler::State::isWithinAllowance(const std::string &tenant,
@@ -202,16 +224,57 @@
         && within(rule->maximum.accelerators, limit.accelerators, used.accelerators);
 }
 
-// Adds a waiting task to the demand. A task that exceeds its tenant's allowance counts towards a larger
-// allowance, but not towards more workers.
-auto PoolScheduler::State::addDemand(const std::string &tenant, const StepSpec &step) -> void
+// Returns how many more of these tasks the tenant's allowance covers, beyond those in use and those
+// that wait and are covered already.
+auto PoolScheduler::State::countWithinAllowance(const std::string &tenant, const ResourceSet &need,
+                                                std::int64_t tasks) const -> std::int64_t
 {
-    tenantWanted_[tenant] += step.need;
-    auto covered = tenantCovered_[tenant];
-    covered += step.need;
-    if (isWithinAllowance(tenant, covered)) {
-        tenantCovered_[tenant] = covered;
-        wanted_ += capacityNeed(step);
+    const auto *rule = view_.catalog.tenant(tenant);
+    if (rule == nullptr) {
+        return tasks;
+    }
+    const auto find = [&](const std::map<std::string, ResourceSet> &amounts) {
+        const auto found = amounts.find(tenant);
+        return found == amounts.end() ? ResourceSet{} : found->second;
+    };
+    auto remaining = find(allowances_);
+    remaining -= find(tenantUsed_);
+    remaining -= find(tenantCovered_);
+    const auto within = [&](std::int64_t maximum, std::int64_t left, std::int64_t each) {
+        if (maximum == 0) {
+            return tasks;
+        }
+        if (left < 0) {
+            return std::int64_t{0};
+        }
+        return each == 0 ? tasks : std::min(tasks, left / each);
+    };
+    return std::min({within(rule->maximum.cpu, remaining.cpu, need.cpu),
+                     within(rule->maximum.memoryMb, remaining.memoryMb, need.memoryMb),
+                     within(rule->maximum.accelerators, remaining.accelerators,
+                            need.accelerators)});
+}
+
+// Adds waiting tasks of a step to the demand. Tasks beyond their tenant's allowance count towards a
+// larger allowance, but not towards more workers. Neither do those of expired jobs: they take what is
+// left, as workers that go to them are missing where a job can still be in time.
+auto PoolScheduler::State::addDemand(const ReadyStep &step, std::int64_t tasks) -> void
+{
+    if (tasks == 0) {
+        return;
+    }
+    const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
+    const auto &tenant = step.entry->job.spec.tenant;
+    tenantWanted_[tenant] += spec.need * tasks;
+    if (isRoundFull()) {
+        return; // These tasks wait for the owner, not for workers.
+    }
+    const auto covered = countWithinAllowance(tenant, spec.need, tasks);
+    tenantCovered_[tenant] += spec.need * covered;
+    if (step.isUnbounded || step.timeliness == Timeliness::OnTime) {
+        wanted_ += capacityNeed(spec) * covered;
+    } else if (step.timeliness == Timeliness::Late) {
+        wantedLate_ += capacityNeed(spec) * covered;
     }
 }
 
@@ -222,30 +285,32 @@
     const auto &tenant = entry.job.spec.tenant;
     auto       &tasks =
         entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
-    auto isBlocked = false; // Tasks of a step are alike: if one finds no worker, none does.
+    auto         isBlocked = false; // Tasks of a step are alike: if one finds no worker, none does.
+    std::int64_t waiting = 0;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].isDone || tasks[index].isLive()) {
             continue;
         }
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
-        if (!isBlocked && isWithinAllowance(tenant, spec.need)) {
+        if (!isBlocked && !isRoundFull() && isWithinAllowance(tenant, spec.need)) {
             auto *worker = isKnownUnplaceable(entry, ref) ? nullptr : chooseWorker(now, entry, ref);
             if (worker != nullptr) {
-                placeTask(now, entry, ref, *worker);
+                placeTask(now, step, ref, *worker);
                 continue;
             }
-            isBlocked = true;
             if (!spec.isUnbounded && spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
-                unplaceable_.push_back(capacityNeed(spec));
+                addUnplaceable(capacityNeed(spec));
             }
             if (spec.isUnbounded) {
                 reserveWorker(now, entry, ref);
             }
             explainWait(now, entry, ref);
         }
-        addDemand(tenant, spec);
+        isBlocked = true;
+        ++waiting;
     }
+    addDemand(step, waiting);
 }
 
 // Places all members of a gang, or none.
@@ -255,7 +320,7 @@
     auto &tasks =
         entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
     const auto isAnyLive = std::ranges::any_of(tasks, &JobTask::isLive);
-    if (isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone)) {
+    if (isRoundFull() || isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone)) {
         return;
     }
     const auto  &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
@@ -278,6 +343,7 @@
         auto state = RunState{};
         state.run = run + 1;
         state.need = capacityNeed(spec);
+        state.isUnbounded = spec.isUnbounded;
         allocate(*worker, ref, state);
         placed.emplace_back(worker, ref);
     }
@@ -286,15 +352,13 @@
         release(*worker, ref);
     }
     if (!isComplete) {
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            addDemand(tenant, spec);
-        }
+        addDemand(step, std::ssize(tasks));
         return;
     }
     for (const auto &[worker, ref] : placed) {
         auto &task = tasks[static_cast<std::size_t>(ref.index)];
         task.run = run;
-        placeTask(now, entry, ref, *worker);
+        placeTask(now, step, ref, *worker);
     }
 }
 
@@ -319,6 +383,10 @@
     -> Worker *
 {
     const auto &step = stepOf(entry, ref);
+    const auto  isPacked = !step.isUnbounded && !step.isFiller && step.preferredRack.empty();
+    if (isPacked && !capacityIndex_.isEmpty()) {
+        return findTightestFit(now, entry, ref);
+    }
     const auto  need = capacityNeed(step);
     Worker     *best = nullptr;
     auto        bestScore = 0.0;
@@ -338,6 +406,41 @@
     return best;
 }
 
+// Returns the worker with the highest score for a timed task that is packed. The score is at most
+// -2 * the part of cpu that stays free, so the search ends where no worker with more free cpu can win.
+auto PoolScheduler::State::findTightestFit(Moment now, const JobEntry &entry, const TaskRef &ref)
+    -> Worker *
+{
+    const auto &step = stepOf(entry, ref);
+    const auto  need = capacityNeed(step);
+    const auto  largestCpu = static_cast<double>(capacityIndex_.largestCpu());
+    Worker     *best = nullptr;
+    auto        bestScore = 0.0;
+    for (const auto &candidate : capacityIndex_.workersWith(need.cpu)) {
+        const auto bound = -2 * static_cast<double>(candidate.freeCpu - need.cpu) / largestCpu;
+        if (best != nullptr && bound <= bestScore) {
+            break;
+        }
+        auto &worker = *candidate.worker;
+        if (!need.fits(worker.freeCapacity()) || !isAllowed(now, worker, entry, ref)) {
+            continue;
+        }
+        const auto score = placementScore(worker, step);
+        if (best == nullptr || score > bestScore) {
+            best = &worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+// Remembers a need that fits nowhere, in place of larger ones.
+auto PoolScheduler::State::addUnplaceable(const ResourceSet &need) -> void
+{
+    std::erase_if(unplaceable_, [&](const ResourceSet &other) { return need.fits(other); });
+    unplaceable_.push_back(need);
+}
+
 // Returns whether a task that needs no more than this one, and may run anywhere, found no worker in
 // this round.
 auto PoolScheduler::State::isKnownUnplaceable(const JobEntry &entry, const TaskRef &ref) const
@@ -352,9 +455,10 @@
 // Logs why a task of a job finds no worker, at most once per kExplainIntervalMs and job.
 auto PoolScheduler::State::explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void
 {
-    if (now.steadyMs < entry.nextExplainAt) {
+    if (now.steadyMs < entry.nextExplainAt || explanations_ >= kMaxExplanations) {
         return;
     }
+    ++explanations_;
     entry.nextExplainAt = now.steadyMs + kExplainIntervalMs;
     const auto   need = capacityNeed(stepOf(entry, ref));
     std::int64_t usable = 0;
@@ -403,9 +507,10 @@
     }
 }
 
-auto PoolScheduler::State::placeTask(Moment now, JobEntry &entry, const TaskRef &ref,
+auto PoolScheduler::State::placeTask(Moment now, const ReadyStep &step, const TaskRef &ref,
                                      Worker &worker) -> void
 {
+    auto &entry = *step.entry;
     auto &task = *findTask(entry.job, ref);
     ++task.run;
     task.worker = worker.peer.id;
@@ -414,11 +519,14 @@
     auto run = RunState{};
     run.run = task.run;
     run.need = capacityNeed(stepOf(entry, ref));
+    run.isUnbounded = step.isUnbounded;
+    run.isExpired = !step.isUnbounded && step.timeliness == Timeliness::Expired;
     allocate(worker, ref, run);
     if (entry.job.state == JobState::Queued) {
         entry.job.state = JobState::Running;
     }
     logRunEvent("run.placed", ref, run.run, worker.peer.id, "");
+    ++placed_;
     markChanged(entry.job.spec.id);
     afterAppend(StartEffect{ref, task.run, worker.peer.id});
 }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -98,6 +98,7 @@
         state_->flush(now);
         return;
     }
+    state_->noteTick(now);
     state_->workersToTick_.clear();
     for (auto &[id, worker] : state_->workers_) {
         state_->tickWorker(now, worker);
@@ -175,11 +176,7 @@
 
 auto PoolScheduler::countRuns() const -> std::size_t
 {
-    std::size_t runs = 0;
-    for (const auto &[id, worker] : state_->workers_) {
-        runs += worker.runs.size();
-    }
-    return runs;
+    return static_cast<std::size_t>(state_->liveRuns_);
 }
 
 auto PoolScheduler::countPlacementRounds() const -> std::int64_t
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -2,6 +2,7 @@
 //
 // Index of this file
 // [SECTION] Workers
+// [SECTION] Capacity index
 // [SECTION] Batches
 // [SECTION] Scheduler state
 
@@ -10,6 +11,7 @@
 #include "pool/pool.h"
 
 #include <deque>
+#include <span>
 
 namespace peridotwalk {
 
@@ -21,6 +23,8 @@
 struct RunState {
     std::int64_t run = 0;
     ResourceSet  need;                // Occupied capacity.
+    bool         isUnbounded = false; // Runs until it is stopped.
+    bool         isExpired = false;   // Placed when its job was past any use of its result.
     bool         isSent = false;      // The start order was sent at least once.
     bool         isConfirmed = false; // The worker has it.
     TimeMs       confirmedAt = 0;
@@ -45,8 +49,10 @@
     bool                        hasAnsweredHold = false; // Has answered a hold of this owner.
     bool                        isHoldInFlight = false;
     ResourceSet                 used; // Occupied by `runs`.
-    // Numbers of tasks among `runs`. Kept as counters, since counting at each placement is slow.
+    // Sums over `runs`. Kept up to date, since adding up at each placement is slow.
     std::int64_t                unboundedTasks = 0;
+    std::int64_t                unboundedCpu = 0;
+    std::int64_t                expiredCpu = 0; // Occupied by timed tasks placed as expired.
     std::int64_t                servingTasks = 0;
     std::map<TaskRef, RunState> runs;
     std::int64_t                startedAtMs = -1; // Start of its incarnation. -1: not reported yet.
@@ -64,6 +70,38 @@
     auto freeCapacity() const -> ResourceSet; // Capacity that isn't in use.
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Capacity index
+//-----------------------------------------------------------------------------
+
+// The workers that may get new runs in a placement round, by free cpu. A task finds the tightest fit
+// near its need, so a placement costs about the same in pools of 100 and of 1,000 workers.
+class CapacityIndex
+{
+public:
+    struct Entry {
+        std::int64_t freeCpu = 0;
+        std::int64_t order = 0; // Breaks ties the same way in each run.
+        Worker      *worker = nullptr;
+    };
+
+    // Commands.
+    auto add(Worker &worker) -> void; // To be followed by sort().
+    auto sort() -> void;
+    auto clear() -> void;
+    // After a change of the worker's free capacity. Workers that aren't in the index are ignored.
+    auto update(const Worker &worker, std::int64_t freeCpuBefore) -> void;
+
+    // Queries.
+    auto isEmpty() const -> bool { return entries_.empty(); }
+    auto workersWith(std::int64_t cpu) const -> std::span<const Entry>; // By free cpu, rising.
+    auto largestCpu() const -> std::int64_t { return largestCpu_; } // Capacity of any worker.
+
+private:
+    std::vector<Entry> entries_;
+    std::int64_t       largestCpu_ = 0;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Batches
 //-----------------------------------------------------------------------------
@@ -147,6 +185,7 @@
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
                 const std::string &checkpoint) -> void;
     auto finishJob(Moment now, JobEntry &entry, JobState state) -> void;
+    auto stopRuns(Moment now, JobEntry &entry) -> void;
     auto checkCompletion(Moment now, JobEntry &entry) -> void;
 
     // Runs (runs.cpp)
@@ -178,6 +217,7 @@
     auto mayStartOn(const Worker &worker) const -> bool;           // For runs already placed.
 
     // Placement (placement.cpp)
+    auto noteTick(Moment now) -> void;
     auto schedule(Moment now) -> void;
     auto findReadySteps(Moment now) -> std::vector<ReadyStep>;
     auto placeStep(Moment now, const ReadyStep &step) -> void;
@@ -188,9 +228,15 @@
     auto isKnownUnplaceable(const JobEntry &entry, const TaskRef &ref) const -> bool;
     auto explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
     auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
-    auto placeTask(Moment now, JobEntry &entry, const TaskRef &ref, Worker &worker) -> void;
+    auto placeTask(Moment now, const ReadyStep &step, const TaskRef &ref, Worker &worker) -> void;
     auto isWithinAllowance(const std::string &tenant, const ResourceSet &need) const -> bool;
-    auto addDemand(const std::string &tenant, const StepSpec &step) -> void;
+    auto addDemand(const ReadyStep &step, std::int64_t tasks) -> void;
+    auto countWithinAllowance(const std::string &tenant, const ResourceSet &need,
+                              std::int64_t tasks) const -> std::int64_t;
+    auto addUnplaceable(const ResourceSet &need) -> void;
+    auto isRoundFull() const -> bool { return placed_ >= settings_.maxPlacedPerRound; }
+    auto endDelay() const -> TimeMs; // Until ended runs of a worker are fetched again.
+    auto findTightestFit(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
 
     // Directions from the coordinator (directions.cpp)
     auto applyDirection(Moment now, const PoolDirection &direction) -> void;
@@ -212,6 +258,12 @@
     TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
     std::int64_t                                 placementRounds_ = 0;
     std::vector<ResourceSet>                     unplaceable_;   // Needs that fit nowhere now.
+    CapacityIndex                                capacityIndex_; // Empty between rounds.
+    int                                          explanations_ = 0; // Logged in this round.
+    int                                          placed_ = 0;       // Tasks placed in this round.
+    std::int64_t                                 liveRuns_ = 0;     // On all workers.
+    TimeMs                                       tickedAt_ = 0;     // Last tick. 0: none yet.
+    bool                                         isOverloaded_ = false; // Ticks come late.
     std::set<std::string>                        workersToTick_; // Ticked by advance().
     // When the next occurrence is due, on the wall clock. 0: none is known.
     std::int64_t                                 nextDueMs_ = 0;
@@ -223,7 +275,9 @@
     std::map<std::string, ResourceSet>           tenantCovered_; // Part that the allowance covers.
     std::map<std::string, ResourceSet>           allowances_;    // By tenant. Missing: zero.
     std::map<std::string, TimeMs>                cordoned_;      // Start of the cordon, by worker.
-    ResourceSet                                  wanted_; // Needs of tasks that lack only a worker.
+    // Needs of tasks that lack only a worker, by how their jobs stand against their objectives.
+    ResourceSet                                  wanted_;     // On time, and unbounded ones.
+    ResourceSet                                  wantedLate_; // Late, but still of use.
     std::set<std::string>                        reservedWorkers_; // Kept for unbounded tasks.
     std::set<std::string>                        changed_;         // Jobs with progress to record.
     std::set<std::string>                        submitted_;       // Jobs to record.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -128,11 +128,16 @@
 {
     const auto &entry = jobs_.at(ref.job);
     const auto &step = stepOf(entry, ref);
+    const auto  freeBefore = worker.freeCapacity().cpu;
     worker.used += run.need;
-    worker.unboundedTasks += step.isUnbounded ? 1 : 0;
+    worker.unboundedTasks += run.isUnbounded ? 1 : 0;
+    worker.unboundedCpu += run.isUnbounded ? run.need.cpu : 0;
+    worker.expiredCpu += run.isExpired ? run.need.cpu : 0;
     worker.servingTasks += isServing(step) ? 1 : 0;
     tenantUsed_[entry.job.spec.tenant] += step.need;
     worker.runs[ref] = run;
+    ++liveRuns_;
+    capacityIndex_.update(worker, freeBefore);
 }
 
 auto PoolScheduler::State::release(Worker &worker, const TaskRef &ref) -> void
@@ -140,11 +145,17 @@
     const auto  held = worker.runs.find(ref);
     const auto &entry = jobs_.at(ref.job);
     const auto &step = stepOf(entry, ref);
-    worker.used -= held->second.need;
-    worker.unboundedTasks -= step.isUnbounded ? 1 : 0;
+    const auto &run = held->second;
+    const auto  freeBefore = worker.freeCapacity().cpu;
+    worker.used -= run.need;
+    worker.unboundedTasks -= run.isUnbounded ? 1 : 0;
+    worker.unboundedCpu -= run.isUnbounded ? run.need.cpu : 0;
+    worker.expiredCpu -= run.isExpired ? run.need.cpu : 0;
     worker.servingTasks -= isServing(step) ? 1 : 0;
     tenantUsed_[entry.job.spec.tenant] -= step.need;
     worker.runs.erase(held);
+    --liveRuns_;
+    capacityIndex_.update(worker, freeBefore);
 }
 
 // Ends a run that the worker doesn't have and can't get any more.
@@ -405,6 +416,11 @@
     worker.nextHoldAt = now.steadyMs + (hasUnrecorded ? kStalledHoldMs : 0);
 }
 
+auto PoolScheduler::State::endDelay() const -> TimeMs
+{
+    return std::min<TimeMs>(settings_.maxEndDelayMs, liveRuns_ / settings_.runsPerEndDelayMs);
+}
+
 auto PoolScheduler::State::readEnds(Moment now, Worker &worker, const HoldReply &reply) -> void
 {
     auto last = worker.seenEnd;
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -106,6 +106,10 @@
     std::int64_t          startedAtMs = 0;      // Start of the worker, wall clock. 0: not reported.
 };
 
+// Return ok, or an error that names what is out of range. Any writer may leave entries in the directory, so
+// every decoder checks what it has read.
+auto checkWorker(const WorkerReport &worker) -> absl::Status;
+
 // A maintenance wave that operators have requested.
 struct WaveOrder {
     std::string              name;
@@ -114,6 +118,8 @@
     std::int64_t             maxAtOnce = 1; // Upper limit of machines in maintenance at a time.
 };
 
+auto checkWave(const WaveOrder &wave) -> absl::Status; // As checkWorker().
+
 // Changes in the directory.
 struct CatalogChanged {
     CatalogRules rules;
@@ -282,6 +288,8 @@
     MachineState          state = MachineState::Down;
 };
 
+auto checkMachine(const MachineEntry &machine) -> absl::Status; // As checkWorker().
+
 // Why the machine service refused a call.
 enum class MachineRefusal {
     None,      // Not refused.
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -501,6 +501,137 @@
     cr_assert(std::ranges::all_of(fleet.moved, [](const auto &move) { return move.pool == "p"; }));
 }
 
+Test(division, pools_get_what_they_need_if_there_is_enough)
+{
+    const auto pools = std::vector<PoolDemand>{{3, 40, 50, 60}, {5, 5, 5, 5}};
+    cr_assert(divideMachines(pools, 100) == std::vector<std::int64_t>({60, 5}));
+    cr_assert(divideMachines(pools, 60) == std::vector<std::int64_t>({55, 5}));
+    cr_assert(divideMachines({}, 10).empty());
+}
+
+Test(division, a_burst_that_is_only_expected_takes_nothing_that_is_needed)
+{
+    const auto pools = std::vector<PoolDemand>{{3, 10, 10, 500}, {3, 60, 80, 80}};
+    cr_assert(divideMachines(pools, 95) == std::vector<std::int64_t>({15, 80}));
+    cr_assert(divideMachines(pools, 80) == std::vector<std::int64_t>({10, 70})); // Late work waits.
+}
+
+Test(division, each_pool_gets_the_same_part_of_its_need)
+{
+    const auto pools =
+        std::vector<PoolDemand>{{0, 400, 400, 400}, {0, 200, 200, 200}, {50, 50, 50, 50}};
+    cr_assert(divideMachines(pools, 350) == std::vector<std::int64_t>({200, 100, 50}));
+    cr_assert(divideMachines(pools, 0) == std::vector<std::int64_t>({0, 0, 0}));
+}
+
+Test(division, no_machine_is_given_twice_or_kept_back)
+{
+    auto random = pcg32(7);
+    for (auto round = 0; round < 500; ++round) {
+        auto         pools = std::vector<PoolDemand>();
+        std::int64_t needed = 0;
+        for (std::uint32_t number = 0; number < 1 + random(6); ++number) {
+            auto demand = PoolDemand{};
+            demand.required = random(20);
+            demand.onTime = demand.required + random(300);
+            demand.late = demand.onTime + random(100);
+            demand.expected = demand.late + random(300);
+            needed += demand.expected;
+            pools.push_back(demand);
+        }
+        const std::int64_t machines = random(1'500);
+        const auto         given = divideMachines(pools, machines);
+        std::int64_t       sum = 0;
+        for (std::size_t pool = 0; pool < pools.size(); ++pool) {
+            cr_assert(given[pool] >= 0 && given[pool] <= pools[pool].expected);
+            sum += given[pool];
+        }
+        cr_assert_eq(sum, std::min(machines, needed), "round %d", round);
+    }
+}
+
+// A pool that bursts first is never idle, so it would keep its machines while another one waits.
+Test(planner, a_pool_full_of_expired_work_gives_busy_machines_up)
+{
+    auto fleet = Fleet(20);
+    auto other = makeReport("q", 0, 0, 0);
+    other.wanted = {600'000, 0, 0};
+    const auto run = [&](std::int64_t expiredCpu) {
+        for (std::size_t number = 0; number < 20; ++number) {
+            fleet.worker(number).cpu = 60'000;
+            fleet.worker(number).expiredCpu = expiredCpu;
+        }
+        for (auto round = 0; round < 20; ++round) {
+            fleet.planner().onReport(fleet.now(), other);
+            fleet.run(100);
+        }
+        return std::ranges::count_if(fleet.report().workers,
+                                     [](const auto &worker) { return worker.isCordoned; });
+    };
+    cr_assert_leq(run(0), 7); // It needs 20 machines, the other one 10, so its part is 13.
+    cr_assert_geq(run(60'000), 8);
+    cr_assert_leq(run(60'000), 17); // The pool keeps enough to go on.
+}
+
+// In a trough, one large job needs several machines. The peak of another pool's burst is hundreds.
+Test(planner, a_large_job_in_a_trough_is_no_burst)
+{
+    auto fleet = Fleet(400);
+    for (std::size_t number = 100; number < 400; ++number) {
+        fleet.machine(number).pool = "standby";
+        fleet.machine(number).worker = "";
+    }
+    fleet.report().workers.resize(100);
+    fleet.report().wanted = {};
+    auto other = makeReport("q", 0, 0, 0);
+    auto load = WorkerLoad{};
+    load.id = "q0";
+    load.isUsable = true;
+    other.workers.push_back(load);
+    const auto run = [&](std::int64_t wantedByOther, int rounds) {
+        other.wanted = {wantedByOther, 0, 0};
+        for (auto round = 0; round < rounds; ++round) {
+            fleet.planner().onReport(fleet.now(), other);
+            fleet.run(100);
+        }
+    };
+    fleet.worker(0).cpu = 60'000;
+    run(0, 30);
+    fleet.worker(0).cpu = 20'000'000; // A burst of pool "p".
+    run(0, 30);
+    fleet.worker(0).cpu = 60'000;
+    run(0, 30);
+    const auto moved = std::ssize(fleet.moved);
+    run(400'000, 10); // One job of pool "q".
+    const auto toOther = std::ranges::count_if(
+        fleet.moved, [](const auto &move) { return move.pool == "q"; });
+    cr_assert_leq(toOther, 12, "%ld", static_cast<long>(toOther));
+    cr_assert_geq(std::ssize(fleet.moved), moved);
+}
+
+// Spare machines are maintained at once; those that pools use, only as fast as the wave needs.
+Test(planner, a_wave_takes_spare_machines_first_and_others_as_needed)
+{
+    auto fleet = Fleet(60);
+    for (std::size_t number = 40; number < 60; ++number) {
+        fleet.machine(number).pool = "standby";
+        fleet.machine(number).worker = "";
+    }
+    fleet.report().workers.resize(40);
+    for (std::size_t number = 0; number < 40; ++number) {
+        fleet.worker(number).cpu = 40'000;
+    }
+    fleet.run(1'000);
+    auto wave = makeWave(60, 40);
+    wave.at("1").withinMs = 100'000;
+    fleet.planner().setWaves(fleet.now(), wave);
+    fleet.run(500);
+    const auto drained = std::ranges::count_if(
+        fleet.report().workers, [](const auto &worker) { return worker.isCordoned; });
+    cr_assert_leq(drained, 4, "%ld", static_cast<long>(drained)); // 60 * 4.5 s in 80 s.
+    cr_assert_geq(std::ssize(fleet.maintained), 6); // A third of the standby pool at a time.
+}
+
 Test(forecast, a_new_burst_is_expected_to_reach_the_last_peak)
 {
     auto forecast = DemandForecast();
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -218,3 +218,104 @@
     close(peer);
     close(listener);
 }
+
+namespace {
+
+// Accepts one connection on loopback, and writes a whole answer as soon as it has read a request.
+class LargeAnswer
+{
+public:
+    explicit LargeAnswer(std::size_t bodyBytes) : bodyBytes_(bodyBytes)
+    {
+        auto address = sockaddr_in{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto size = socklen_t{sizeof(address)};
+        cr_assert_eq(bind(listener_, reinterpret_cast<sockaddr *>(&address), size), 0);
+        cr_assert_eq(::listen(listener_, 1), 0);
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        port_ = ntohs(address.sin_port);
+    }
+
+    ~LargeAnswer()
+    {
+        close(listener_);
+        close(connection_);
+    }
+    LargeAnswer(const LargeAnswer &) = delete;
+    auto operator=(const LargeAnswer &) -> LargeAnswer & = delete;
+
+    auto port() const -> std::uint16_t { return port_; }
+
+    // Returns whether the answer is written.
+    auto tryAnswer() -> bool
+    {
+        if (connection_ < 0) {
+            connection_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+        }
+        auto request = std::array<char, 1'024>();
+        if (connection_ < 0 || recv(connection_, request.data(), request.size(), 0) <= 0) {
+            return false;
+        }
+        const auto answer = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", bodyBytes_,
+                                        std::string(bodyBytes_, 'x'));
+        cr_assert_eq(send(connection_, answer.data(), answer.size(), 0),
+                     static_cast<ssize_t>(answer.size()));
+        return true;
+    }
+
+private:
+    int           listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    int           connection_ = -1;
+    std::uint16_t port_ = 0;
+    std::size_t   bodyBytes_;
+};
+
+// Returns how many other events a busy loop handles until it has read an answer that was there before.
+auto countEventsBeforeAnswer(bool isUrgent) -> int
+{
+    constexpr auto kBodyBytes = std::size_t{60'000};
+    constexpr auto kEventsAtOnce = 400;
+    auto           loop = EventLoop();
+    auto           server = LargeAnswer(kBodyBytes);
+    auto           pool = ConnectionPool(loop, {.isProbed = false});
+    auto           events = 0;
+    auto           storm = std::function<void()>();
+    storm = [&] {
+        ++events;
+        loop.post(storm);
+    };
+    auto waitForRequest = std::function<void()>();
+    waitForRequest = [&] {
+        if (!server.tryAnswer()) {
+            loop.post(waitForRequest, 1);
+            return;
+        }
+        for (auto number = 0; number < kEventsAtOnce; ++number) {
+            loop.post(storm);
+        }
+    };
+    auto call = HttpCall{};
+    call.timeoutMs = 60'000;
+    call.isUrgent = isUrgent;
+    pool.request(fmt::format("127.0.0.1:{}", server.port()), call, [&](const HttpResult &result) {
+        cr_assert(result.isComplete);
+        cr_assert_eq(result.body.size(), kBodyBytes);
+        loop.stop();
+    });
+    waitForRequest();
+    loop.run();
+    return events;
+}
+
+} // namespace
+
+// An owner's loop has hundreds of events of workers' connections in each round. The list of workers comes in
+// pieces of 4 KB a round, and grows faster than it would be read that way.
+Test(http, a_large_answer_doesnt_wait_for_the_events_of_a_busy_loop)
+{
+    const auto plain = countEventsBeforeAnswer(false);
+    const auto urgent = countEventsBeforeAnswer(true);
+    cr_assert_lt(urgent * 4, plain, "%d events before an urgent answer, %d before another", urgent,
+                 plain);
+}
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -146,6 +146,60 @@
     PlatformAddresses addresses;
 };
 
+// Answers every call with one body.
+struct FakeAnswer {
+    explicit FakeAnswer(int status, std::string body)
+        : server(loop, {}), pool(loop, {.isProbed = false})
+    {
+        server.requestArrived.connect([this, status, body = std::move(body)](const auto &request) {
+            server.reply(request.id, {status, "application/json", body, {}});
+        });
+        cr_assert(server.listen("127.0.0.1:0").ok());
+        address = fmt::format("127.0.0.1:{}", server.port());
+        addresses.store = address;
+        addresses.machines = address;
+    }
+
+    EventLoop         loop;
+    HttpServer        server;
+    ConnectionPool    pool;
+    std::string       address;
+    PlatformAddresses addresses;
+};
+
+auto workerEntry(const std::string &change) -> std::string
+{
+    auto entry = Json{{"service", "p"},  {"address", "10.1.1.1:80"},
+                      {"zone", "z"},     {"state", "ready"},
+                      {"born", 17},      {"capacity", {{"cpu", 16'000}, {"memMb", 32'768}}},
+                      {"labels", {"a", "r1"}}};
+    entry.merge_patch(Json::parse(change));
+    return dumpJson(entry);
+}
+
+// Entries that another writer may leave among those of the workers.
+auto oddWorkerEntries() -> std::vector<std::string>
+{
+    auto odd = std::vector<std::string>{
+        std::string(200'000, '['), R"({"a":)" + std::string(5'000, '[') + std::string(5'000, ']') + "}",
+        "\xff\xfe{}", "{", "null", "7", R"({"service":"p","service":5})"};
+    for (const auto *change :
+         {R"({"address":"10.1.1.1:0"})", R"({"address":"10.1.1.1:65536"})",
+          R"({"address":"10.1.1.1:99999"})", R"({"address":"10.1.1.1:-1"})",
+          R"({"address":"10.1.1.1:http"})", R"({"address":"10.1.1.1"})", R"({"address":""})",
+          R"({"address":17})", R"({"address":"10.1.1.1:18446744073709551697"})",
+          R"({"capacity":{"cpu":1e300}})", R"({"capacity":{"cpu":18446744073709551616}})",
+          R"({"capacity":{"cpu":9223372036854775807}})", R"({"capacity":{"cpu":18446744073709551615}})",
+          R"({"capacity":{"memMb":-1}})", R"({"capacity":{"cpu":"NaN"}})", R"({"capacity":[]})",
+          R"({"capacity":{"gpu":1e10}})", R"({"born":1e300})", R"({"born":-5})",
+          R"({"drainRemainingMs":1e300})", R"({"state":"odd"})", R"({"state":null})",
+          R"({"service":""})", R"({"zone":5})", R"({"labels":"a"})", R"({"labels":[1]})"}) {
+        odd.push_back(workerEntry(change));
+    }
+    odd.push_back(workerEntry(R"({"labels":[")" + std::string(1'000'000, 'x') + R"("]})"));
+    return odd;
+}
+
 } // namespace
 
 Test(platform, lists_machines_page_by_page)
@@ -180,3 +234,124 @@
     cr_assert_eq(newest.records[1].key, "wave/2");
     cr_assert_eq(newest.next, 7);
 }
+
+// Another writer may leave any entry among those of the workers. It names no worker; the others are followed
+// on, and a worker whose entry it replaces gets no new runs.
+Test(platform, an_odd_entry_is_left_out_and_the_others_are_followed)
+{
+    const auto odd = oddWorkerEntries();
+    auto       body = writeBigEndian(100 + odd.size() * 2 + 2, 8) + writeBigEndian(1, 8);
+    body += packKeyed({"first", workerEntry("{}")});
+    body += packRecord("");           // A record without a key,
+    body += packRecord("\xff" "abc"); // and one that is cut off.
+    for (std::size_t number = 0; number < odd.size(); ++number) {
+        body += packKeyed({fmt::format("odd{}", number), odd[number]});
+        body += packKeyed({fmt::format("good{}", number), workerEntry("{}")});
+    }
+    body += packKeyed({"first", odd.back()});
+    auto       answer = FakeAnswer(200, body);
+    const auto directory = makeDirectory(answer.pool, answer.addresses);
+    auto       page = DirectoryPage{};
+    directory->read(DirectorySource::Workers, 100, 0, [&](absl::StatusOr<DirectoryPage> got) {
+        cr_assert(got.ok());
+        page = *got;
+        answer.loop.stop();
+    });
+    answer.loop.run();
+    cr_assert_eq(page.next, static_cast<Offset>(104 + odd.size() * 2));
+    auto listed = std::set<std::string>();
+    auto removed = std::set<std::string>();
+    for (const auto &change : page.changes) {
+        const auto &worker = std::get<WorkerChanged>(change);
+        (worker.report ? listed : removed).insert(worker.id);
+        if (!worker.report) {
+            listed.erase(worker.id);
+        }
+    }
+    cr_assert_eq(listed.size(), odd.size());
+    for (std::size_t number = 0; number < odd.size(); ++number) {
+        cr_assert(listed.contains(fmt::format("good{}", number)));
+        cr_assert(removed.contains(fmt::format("odd{}", number)), "entry %zu", number);
+    }
+    cr_assert(removed.contains("first"));
+}
+
+// Answers of workers and of the machine service whose fields have other types.
+Test(platform, an_odd_answer_to_an_order_ends_nothing)
+{
+    for (const auto status : {200, 409, 421, 503, 500}) {
+        for (const auto &body :
+             {std::string(R"({"clockMs":"soon","reason":5})"), std::string(R"({"clockMs":1e300})"),
+              std::string(R"({"reason":null,"clockMs":[]})"), std::string("[]"), std::string("{"),
+              std::string(100'000, '['), std::string()}) {
+            auto       answer = FakeAnswer(status, body);
+            const auto workers = makeWorkerService(answer.pool, answer.addresses);
+            const auto machines = makeMachineService(answer.pool, answer.addresses);
+            auto       answers = 0;
+            const auto count = [&] {
+                if (++answers == 4) {
+                    answer.loop.stop();
+                }
+            };
+            const auto peer = WorkerPeer{"i-1", answer.address};
+            workers->start(peer, {}, [&](const OrderReply &) { count(); });
+            workers->stop(peer, {}, [&](const OrderReply &) { count(); });
+            workers->hold(peer, {}, [&](const HoldReply &reply) {
+                cr_assert(reply.outcome != CallOutcome::Done);
+                count();
+            });
+            machines->move("m", "p", {}, [&](const MachineReply &) { count(); });
+            answer.loop.run();
+            cr_assert_eq(answers, 4);
+        }
+    }
+}
+
+Test(platform, an_odd_machine_is_left_out_of_the_list)
+{
+    const auto good = Json{{"machine", "m0"}, {"pool", "p"},           {"state", "up"},
+                           {"zone", "z"},     {"labels", {"a", "r1"}}, {"id", nullptr}};
+    auto       odd = good;
+    odd["labels"] = 7;
+    auto nameless = good;
+    nameless["machine"] = "";
+    auto       answer = FakeAnswer(200, dumpJson({{"machines", {odd, good, nameless, 5}}}));
+    const auto machines = makeMachineService(answer.pool, answer.addresses);
+    auto       listed = std::vector<MachineEntry>();
+    machines->list([&](absl::StatusOr<std::vector<MachineEntry>> got) {
+        cr_assert(got.ok());
+        listed = *got;
+        answer.loop.stop();
+    });
+    answer.loop.run();
+    cr_assert_eq(listed.size(), 1U);
+    cr_assert_eq(listed[0].name, "m0");
+}
+
+Test(platform, an_odd_wave_is_refused)
+{
+    for (const auto *text :
+         {R"({"machines":["m0"],"leaseTermS":1e300,"maximum":1})",
+          R"({"machines":["m0"],"leaseTermS":-1,"maximum":1})",
+          R"({"machines":["m0"],"leaseTermS":1,"maximum":1e300})",
+          R"({"machines":["m0"],"leaseTermS":1,"maximum":-1})",
+          R"({"machines":[""],"leaseTermS":1,"maximum":1})", R"({"machines":7})"}) {
+        const auto wave = readWave("1", text);
+        cr_assert_not(wave.ok() && checkWave(*wave).ok(), "%s", text);
+    }
+    const auto good = readWave("1", R"({"machines":["m0"],"leaseTermS":24.0,"maximum":2})");
+    cr_assert(good.ok() && checkWave(*good).ok());
+    cr_assert_eq(good->withinMs, 24'000);
+}
+
+Test(platform, a_job_with_numbers_out_of_range_is_refused)
+{
+    for (const auto *body :
+         {R"({"steps":[{"count":1e300}]})", R"({"steps":[{"count":18446744073709551617}]})",
+          R"({"steps":[{"count":1,"cpu":1e300}]})", R"({"steps":[{"count":1,"memMb":18446744073709551615}]})",
+          R"({"steps":[{"count":1,"estimateMs":-1e300}]})", R"({"steps":[{"count":1}],"times":1e300})",
+          R"({"steps":[{"count":1}],"startAtMs":9223372036854775808})",
+          R"({"steps":[{"count":1,"after":[1e300]}]})"}) {
+        cr_assert_not(readJob(body).ok(), "%s", body);
+    }
+}
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -310,6 +310,39 @@
     cr_assert_eq(world.owner().countPending("queue"), 0);
 }
 
+// An overloaded owner hears of ends and extends leases late, so more runs would only be lost.
+Test(pool, an_owner_whose_ticks_come_late_places_nothing_until_it_has_caught_up)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.run(300);
+    auto late = world.now();
+    late.steadyMs += 200;
+    world.owner().tick(late);
+    world.submit(makeJob("a", {makeStep(2, 300)}));
+    cr_assert_eq(world.owner().countRuns(), 0U);
+    world.run(1'500);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+    expectNoViolations(world);
+}
+
+// What one round doesn't place waits for the owner, not for machines.
+Test(pool, a_round_places_a_limited_number_of_tasks_and_requests_no_machines_for_the_others)
+{
+    auto world = PoolWorld(1, {}, 100);
+    world.run(300);
+    auto most = std::size_t{0};
+    for (auto number = 0; number < 4; ++number) {
+        const auto before = world.owner().countRuns();
+        world.submit(makeJob(fmt::format("job{}", number), {makeStep(95, 4'000)}));
+        most = std::max(most, world.owner().countRuns() - before);
+        cr_assert_eq(world.owner().report().wanted.cpu, 0);
+    }
+    cr_assert_leq(most, 128U);
+    world.run(300);
+    cr_assert_eq(world.owner().countRuns(), 380U);
+    expectNoViolations(world);
+}
+
 // More machines don't help a tenant that has used up its allowance; a pool that requested them would
 // keep them idle.
 Test(pool, work_beyond_an_allowance_requests_no_machines)
