A call on a new connection isn't sent after its limit

On a new connection its bytes leave once it is connected, so a process that was paused in between sent them after its term. http/a_process_paused_while_it_connects_sends_nothing_after_the_limit failed first.

The limit bounds the wait for the first answer on a new connection, by a timer that a woken loop handles before the connection. Not all timers: answers that have arrived during a pause still count.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr TimeMs kIdleCheckMs = 1'000;
-constexpr int    kUrgentPriority = 0;
+constexpr int    kUrgentPriority = 0; // See EventLoop.
+constexpr int    kNormalPriority = 1;
 
 auto commandOf(const std::string &method) -> evhttp_cmd_type
 {
@@ -84,8 +85,15 @@
             evhttp_add_header(headers, name.c_str(), value.c_str());
         }
         evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
-        const auto timeout = timeval{static_cast<time_t>(call.timeoutMs / 1'000),
-                                     static_cast<suseconds_t>(call.timeoutMs % 1'000 * 1'000)};
+        // A new connection gets the request once it is connected, which mustn't be after the limit. After a
+        // pause of the process, the urgent timer is handled before the connection.
+        const auto isLimited = call.sendBy > 0 && !isConnected_;
+        const auto timeoutMs = isLimited
+            ? std::clamp<TimeMs>(call.sendBy - bootMs(), 1, call.timeoutMs)
+            : call.timeoutMs;
+        event_priority_set(timer_, isLimited ? kUrgentPriority : kNormalPriority);
+        const auto timeout = timeval{static_cast<time_t>(timeoutMs / 1'000),
+                                     static_cast<suseconds_t>(timeoutMs % 1'000 * 1'000)};
         event_add(timer_, &timeout);
         if (evhttp_make_request(connection_, request, commandOf(call.method), call.path.c_str())
             != 0) {
@@ -145,6 +153,7 @@
             result.error = connection.error_.empty() ? "connection error" : connection.error_;
             connection.isClosed_ = true;
         } else {
+            connection.isConnected_ = true;
             result.isComplete = true;
             result.status = evhttp_request_get_response_code(request);
             result.headers = copyHeaders(evhttp_request_get_input_headers(request));
@@ -203,6 +212,7 @@
     ConnectionPool::Done done_;
     std::string          error_;
     bool                 isClosed_ = false;
+    bool                 isConnected_ = false; // An answer has arrived on it.
     bool                 isBusy_ = false;
     TimeMs               idleSince_ = 0;
 };
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -319,3 +319,32 @@
     cr_assert_lt(urgent * 4, plain, "%d events before an urgent answer, %d before another", urgent,
                  plain);
 }
+
+// A process may be paused between the check of a term and the bytes: a new connection gets the request only
+// once it is connected.
+Test(http, a_process_paused_while_it_connects_sends_nothing_after_the_limit)
+{
+    constexpr TimeMs kLimitMs = 60;
+    constexpr auto   kPauseMs = 150;
+    auto             loop = EventLoop();
+    auto             server = HttpServer(loop, {});
+    auto             pool = ConnectionPool(loop, {.isProbed = false});
+    auto             arrived = 0;
+    auto             answers = 0;
+    server.requestArrived.connect([&](const HttpRequest &request) {
+        ++arrived;
+        server.reply(request.id, {});
+    });
+    cr_assert(server.listen("127.0.0.1:0").ok());
+    auto call = HttpCall{};
+    call.sendBy = bootMs() + kLimitMs;
+    pool.request(fmt::format("127.0.0.1:{}", server.port()), call, [&](const HttpResult &result) {
+        ++answers;
+        cr_assert_not(result.isComplete);
+    });
+    loop.post([] { usleep(kPauseMs * 1'000); });
+    loop.post([&] { loop.stop(); }, 2 * kPauseMs);
+    loop.run();
+    cr_assert_eq(answers, 1);
+    cr_assert_eq(arrived, 0);
+}
