Waves drain machines with unbounded tasks from their start

Now machines with the most unbounded tasks go first, and spare ones beside them. planner/a_wave_drains_machines_with_unbounded_tasks_from_its_start failed first.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -281,8 +281,9 @@
     auto planWave(TimeMs now, Wave &wave) -> void;
     auto countUnavailable(TimeMs now, const Wave &wave) -> std::int64_t;
     auto neededAtOnce(TimeMs now, const Wave &wave) const -> std::int64_t;
-    auto isSpare(TimeMs now, const Machine &machine) const -> bool;   // No pool would miss it.
-    auto runsOn(const Machine &machine) const -> std::int64_t;        // -1: no worker is reported.
+    auto isSpare(TimeMs now, const Machine &machine) const -> bool; // No pool would miss it.
+    auto loadOf(const Machine &machine) const -> const WorkerLoad *;
+    auto drainOrder(const Machine &machine) const -> std::pair<std::int64_t, std::int64_t>;
     auto mayBeDown(TimeMs now, const Machine &machine) const -> bool; // In maintenance.
     auto isRemoved(TimeMs now, const Machine &machine) const -> bool;
     auto recordCalls(TimeMs now) -> void;
--- a/src/coordinator/waves.cpp
+++ b/src/coordinator/waves.cpp
@@ -86,18 +86,29 @@
     return !hasShortage_ && (isStandby(machine.entry.pool) || hasNoRuns(now, machine));
 }
 
-auto MachinePlanner::runsOn(const Machine &machine) const -> std::int64_t
+// Returns the load of the machine's worker. Nothing: no worker is reported.
+auto MachinePlanner::loadOf(const Machine &machine) const -> const WorkerLoad *
 {
     const auto pool = pools_.find(machine.entry.pool);
     if (pool == pools_.end()) {
-        return -1;
+        return nullptr;
     }
     const auto worker = pool->second.workers.find(machine.entry.worker);
-    return worker == pool->second.workers.end() ? -1 : worker->second.runs;
+    return worker == pool->second.workers.end() ? nullptr : &worker->second;
 }
 
-// Chooses machines to drain next, those with the fewest runs first, within the limit of each pool. Spare
-// ones go up to the wave's limit, others only as fast as the wave needs.
+// Unbounded tasks leave a machine one by one, within the disruption budgets of their steps, so the machines
+// with most of them go first. The others follow by their runs.
+auto MachinePlanner::drainOrder(const Machine &machine) const
+    -> std::pair<std::int64_t, std::int64_t>
+{
+    const auto *load = loadOf(machine);
+    return load == nullptr ? std::pair<std::int64_t, std::int64_t>(0, -1)
+                           : std::pair(-load->unboundedRuns, load->runs);
+}
+
+// Chooses machines to drain next, within the limit of each pool. Spare ones go up to the wave's limit, others
+// only as fast as the wave needs.
 auto MachinePlanner::planWave(TimeMs now, Wave &wave) -> void
 {
     auto waiting = std::vector<Machine *>();
@@ -123,15 +134,21 @@
         wave.isWriting = true;
         actions_.push_back(WriteWaveState{wave.order.name, false});
     }
-    std::ranges::sort(waiting, {}, [&](const Machine *machine) { return runsOn(*machine); });
+    std::ranges::sort(waiting, {}, [&](const Machine *machine) { return drainOrder(*machine); });
     auto       unavailable = countUnavailable(now, wave);
+    auto       draining = std::ranges::count_if(wave.order.machines, [&](const auto &name) {
+        const auto &machine = machines_[name];
+        return machine.wantedWave == wave.order.name && !machine.isCalling
+            && !hasNoRuns(now, machine) && !isStandby(machine.entry.pool);
+    });
     const auto needed = neededAtOnce(now, wave);
     auto       counts = countDrained();
     for (auto *machine : waiting) {
         if (unavailable >= wave.order.maxAtOnce) {
             return;
         }
-        if (unavailable >= needed && !isSpare(now, *machine)) {
+        const auto isFree = isSpare(now, *machine);
+        if (draining >= needed && !isFree) {
             continue;
         }
         auto      &count = counts[machine->entry.pool];
@@ -145,6 +162,7 @@
         machine->wantedWave = wave.order.name;
         machine->wantedPool.clear();
         ++unavailable;
+        draining += isFree ? 0 : 1;
         ++count.drained;
         --count.machines;
     }
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -632,6 +632,24 @@
     cr_assert_geq(std::ssize(fleet.maintained), 6); // A third of the standby pool at a time.
 }
 
+// Unbounded tasks leave one by one, so a wave that takes idle machines first ends late.
+Test(planner, a_wave_drains_machines_with_unbounded_tasks_from_its_start)
+{
+    auto fleet = Fleet(30);
+    for (std::size_t number = 0; number < 30; ++number) {
+        fleet.worker(number).unboundedRuns = number >= 24 ? 4 : 0;
+        fleet.worker(number).runs = number >= 24 ? 4 : 0;
+        fleet.worker(number).unboundedCpu = number >= 24 ? 38'000 : 0;
+    }
+    fleet.run(1'000);
+    fleet.planner().setWaves(fleet.now(), makeWave(30, 20));
+    fleet.run(500);
+    for (std::size_t number = 24; number < 30; ++number) {
+        cr_assert(fleet.worker(number).isCordoned, "worker %zu", number);
+    }
+    cr_assert_geq(std::ssize(fleet.maintained), 2); // Idle ones go beside them.
+}
+
 Test(forecast, a_new_burst_is_expected_to_reach_the_last_peak)
 {
     auto forecast = DemandForecast();
