--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -6,6 +6,8 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <arpa/inet.h>
+
 #include <array>
 #include <charconv>
 
@@ -136,6 +138,22 @@
     return value;
 }
 
+auto parseEndpoint(std::string_view address) -> absl::StatusOr<Endpoint>
+{
+    const auto colon = address.rfind(':');
+    const auto host = std::string(address.substr(0, colon));
+    const auto port =
+        colon == std::string_view::npos ? std::nullopt : parseInteger(address.substr(colon + 1));
+    auto           parsed = in_addr{};
+    constexpr auto kMaxPort = 65'535;
+    const auto     isHost = inet_pton(AF_INET, host.c_str(), &parsed) == 1;
+    if (!isHost || !port || *port < 0 || *port > kMaxPort) {
+        return makeError(absl::StatusCode::kInvalidArgument, "address", address,
+                         "an address is an IPv4 number, a colon and a port");
+    }
+    return Endpoint{host, static_cast<std::uint16_t>(*port)};
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Bytes
 //-----------------------------------------------------------------------------
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -97,6 +97,15 @@
 // overflow.
 auto parseInteger(std::string_view text) -> std::optional<std::int64_t>;
 
+// An IPv4 address and a port.
+struct Endpoint {
+    std::string   host; // "127.0.0.1"
+    std::uint16_t port = 0;
+};
+
+// Parses an IPv4 address with a port, such as "127.0.0.1:80". Host names aren't resolved.
+auto parseEndpoint(std::string_view address) -> absl::StatusOr<Endpoint>;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Bytes
 //-----------------------------------------------------------------------------
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -292,6 +292,7 @@
     auto hasNoRuns(TimeMs now, const Machine &machine) const -> bool;
     auto isMachineDrained(TimeMs now, const Machine &machine) const -> bool;
     auto isUnavailable(TimeMs now, const Machine &machine) const -> bool;
+    auto isUncommitted(TimeMs now, const Machine &machine) const -> bool;
     auto isStandby(std::string_view pool) const -> bool;
     // Numbers of machines.
     struct Balance {
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -323,8 +323,26 @@
         || now - pool->second.ownerSince < settings_.maxReportAgeMs) {
         return false;
     }
+    const auto *load = loadOf(machine);
+    return load != nullptr && load->runs == 0;
+}
+
+// Returns the load of the machine's worker. Nothing: no worker is reported.
+auto MachinePlanner::loadOf(const Machine &machine) const -> const WorkerLoad *
+{
+    const auto pool = pools_.find(machine.entry.pool);
+    if (pool == pools_.end()) {
+        return nullptr;
+    }
     const auto worker = pool->second.workers.find(machine.entry.worker);
-    return worker != pool->second.workers.end() && worker->second.runs == 0;
+    return worker == pool->second.workers.end() ? nullptr : &worker->second;
+}
+
+// Returns whether the machine is up and nothing is planned for it.
+auto MachinePlanner::isUncommitted(TimeMs now, const Machine &machine) const -> bool
+{
+    return machine.isListed && machine.entry.state == MachineState::Up && !machine.isCalling
+        && machine.wantedWave.empty() && machine.wantedPool.empty() && !isUnavailable(now, machine);
 }
 
 auto MachinePlanner::isUnavailable(TimeMs now, const Machine &machine) const -> bool
@@ -342,9 +360,7 @@
 {
     return std::ranges::count_if(machines_, [&](const auto &item) {
         const auto &machine = item.second;
-        return isStandby(machine.entry.pool) && machine.isListed
-            && machine.entry.state == MachineState::Up && machine.wantedPool.empty()
-            && machine.wantedWave.empty() && !machine.isCalling && !isUnavailable(now, machine)
+        return isStandby(machine.entry.pool) && isUncommitted(now, machine)
             && !evacuated_.contains(machine.entry.zone);
     });
 }
@@ -352,7 +368,6 @@
 // Counts machines that the pool can use now, and those that are moving to it.
 auto MachinePlanner::countUsable(TimeMs now, std::string_view pool) const -> std::int64_t
 {
-    const auto found = pools_.find(pool);
     return std::ranges::count_if(machines_, [&](const auto &item) {
         const auto &machine = item.second;
         if (evacuated_.contains(machine.entry.zone)) {
@@ -365,8 +380,8 @@
             || !machine.wantedWave.empty() || isUnavailable(now, machine)) {
             return false;
         }
-        const auto worker = found->second.workers.find(machine.entry.worker);
-        return worker != found->second.workers.end() && worker->second.isUsable;
+        const auto *load = loadOf(machine);
+        return load != nullptr && load->isUsable;
     });
 }
 
--- a/src/coordinator/moves.cpp
+++ b/src/coordinator/moves.cpp
@@ -23,9 +23,8 @@
 auto MachinePlanner::demandOf(TimeMs now, const Pool &pool, std::int64_t have) const -> PoolDemand
 {
     const auto &unit = pool.report.perWorker;
-    const auto  least = std::max(settings_.minMachines, std::int64_t{1});
     if (unit.cpu <= 0 || unit.memoryMb <= 0) {
-        const auto machines = std::max(have, least);
+        const auto machines = std::max(have, settings_.minMachines);
         return {machines, machines, machines, machines};
     }
     auto         timedCpu = pool.report.wanted.cpu;
@@ -41,7 +40,7 @@
             static_cast<double>(cpu) * settings_.headroomFactor / static_cast<double>(unit.cpu)));
     };
     auto demand = PoolDemand{};
-    demand.required = std::max({least, unboundedWorkers, toMachines(unboundedCpu)});
+    demand.required = std::max({settings_.minMachines, unboundedWorkers, toMachines(unboundedCpu)});
     demand.onTime = std::max(demand.required, toMachines(unboundedCpu + timedCpu));
     if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedTimeoutMs) {
         demand.onTime = std::max(demand.onTime, have + 1);
@@ -114,9 +113,7 @@
 {
     auto idle = std::vector<Machine *>();
     for (auto &[name, machine] : machines_) {
-        const auto isFree = machine.isListed && machine.entry.state == MachineState::Up
-            && !machine.isCalling && machine.wantedWave.empty() && machine.wantedPool.empty()
-            && now >= machine.retryAt && !isUnavailable(now, machine);
+        const auto isFree = isUncommitted(now, machine) && now >= machine.retryAt;
         const auto isEvacuated = evacuated_.contains(machine.entry.zone);
         const auto isOnStandby = isStandby(machine.entry.pool);
         if (!isFree || (!isOnStandby && !hasNoRuns(now, machine))) {
@@ -191,17 +188,12 @@
     auto busy = std::vector<std::pair<std::int64_t, Machine *>>(); // By cpu that is of use.
     for (auto &[name, machine] : machines_) {
         const auto pool = pools_.find(machine.entry.pool);
-        if (pool == pools_.end() || pool->second.overSince < 0
-            || now - pool->second.overSince < settings_.yieldAfterMs || !machine.isListed
-            || machine.entry.state != MachineState::Up || machine.isCalling
-            || !machine.wantedWave.empty() || !machine.wantedPool.empty() || now < machine.retryAt
-            || isUnavailable(now, machine)) {
-            continue;
-        }
-        const auto worker = pool->second.workers.find(machine.entry.worker);
-        if (worker != pool->second.workers.end() && worker->second.runs > 0
-            && worker->second.unboundedRuns == 0) {
-            busy.emplace_back(worker->second.cpu - worker->second.expiredCpu, &machine);
+        const auto isOverLong = pool != pools_.end() && pool->second.overSince >= 0
+            && now - pool->second.overSince >= settings_.yieldAfterMs;
+        const auto *load = loadOf(machine);
+        if (isOverLong && isUncommitted(now, machine) && now >= machine.retryAt && load != nullptr
+            && load->runs > 0 && load->unboundedRuns == 0) {
+            busy.emplace_back(load->cpu - load->expiredCpu, &machine);
         }
     }
     std::ranges::stable_sort(busy, {}, [](const auto &item) { return item.first; });
--- a/src/coordinator/waves.cpp
+++ b/src/coordinator/waves.cpp
@@ -38,9 +38,7 @@
     if (isStandby(machine.entry.pool)) {
         return false;
     }
-    const auto pool = pools_.find(machine.entry.pool);
-    return machine.entry.worker == machine.calledWorker || pool == pools_.end()
-        || !pool->second.workers.contains(machine.entry.worker);
+    return machine.entry.worker == machine.calledWorker || loadOf(machine) == nullptr;
 }
 
 // A crashed machine may be missing from lists for a while, so only a longer absence means removal.
@@ -86,17 +84,6 @@
     return !hasShortage_ && (isStandby(machine.entry.pool) || hasNoRuns(now, machine));
 }
 
-// Returns the load of the machine's worker. Nothing: no worker is reported.
-auto MachinePlanner::loadOf(const Machine &machine) const -> const WorkerLoad *
-{
-    const auto pool = pools_.find(machine.entry.pool);
-    if (pool == pools_.end()) {
-        return nullptr;
-    }
-    const auto worker = pool->second.workers.find(machine.entry.worker);
-    return worker == pool->second.workers.end() ? nullptr : &worker->second;
-}
-
 // Unbounded tasks leave a machine one by one, within the disruption budgets of their steps, so the machines
 // with most of them go first. The others follow by their runs.
 auto MachinePlanner::drainOrder(const Machine &machine) const
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr TimeMs kIdleCheckMs = 1'000;
-constexpr int    kUrgentPriority = 0; // See EventLoop.
-constexpr int    kNormalPriority = 1;
 
 auto commandOf(const std::string &method) -> evhttp_cmd_type
 {
@@ -92,8 +90,7 @@
             ? std::clamp<TimeMs>(call.sendBy - bootMs(), 1, call.timeoutMs)
             : call.timeoutMs;
         event_priority_set(timer_, isLimited ? kUrgentPriority : kNormalPriority);
-        const auto timeout = timeval{static_cast<time_t>(timeoutMs / 1'000),
-                                     static_cast<suseconds_t>(timeoutMs % 1'000 * 1'000)};
+        const auto timeout = toTimeval(timeoutMs);
         event_add(timer_, &timeout);
         if (evhttp_make_request(connection_, request, commandOf(call.method), call.path.c_str())
             != 0) {
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -1,8 +1,4 @@
-#include "http/http.h"
-
-#include <event2/event.h>
-
-#include <arpa/inet.h>
+#include "http/http_internal.h"
 
 #include <chrono>
 #include <ctime>
@@ -14,18 +10,9 @@
 
 constexpr TimeMs kMsPerSecond = 1'000;
 constexpr TimeMs kNsPerMs = 1'000'000;
-// Events have the middle priority by default: kNormalPriority, if there are kPriorities.
-constexpr int    kPriorities = 2;
-constexpr int    kNormalPriority = 1;
 constexpr TimeMs kMaxDispatchMs = 5;        // Longest time, and most events, until the loop looks
 constexpr int    kMaxDispatchedEvents = 32; // for urgent events again.
 
-auto toTimeval(TimeMs ms) -> timeval
-{
-    return {static_cast<time_t>(ms / kMsPerSecond),
-            static_cast<suseconds_t>(ms % kMsPerSecond * kMsPerSecond)};
-}
-
 auto runPosted(evutil_socket_t /*socket*/, short /*events*/, void *task) -> void
 {
     const auto owned =
@@ -116,20 +103,4 @@
     return clockMs<std::chrono::system_clock>();
 }
 
-auto parseEndpoint(std::string_view address) -> absl::StatusOr<Endpoint>
-{
-    const auto colon = address.rfind(':');
-    const auto host = std::string(address.substr(0, colon));
-    const auto port =
-        colon == std::string_view::npos ? std::nullopt : parseInteger(address.substr(colon + 1));
-    auto           parsed = in_addr{};
-    constexpr auto kMaxPort = 65'535;
-    const auto     isHost = inet_pton(AF_INET, host.c_str(), &parsed) == 1;
-    if (!isHost || !port || *port < 0 || *port > kMaxPort) {
-        return makeError(absl::StatusCode::kInvalidArgument, "address", address,
-                         "an address is an IPv4 number, a colon and a port");
-    }
-    return Endpoint{host, static_cast<std::uint16_t>(*port)};
-}
-
 } // namespace peridotwalk
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -71,15 +71,6 @@
 // Returns the wall clock in ms since 1970.
 auto wallMs() -> std::int64_t;
 
-// An IPv4 address and a port.
-struct Endpoint {
-    std::string   host; // "127.0.0.1"
-    std::uint16_t port = 0;
-};
-
-// Parses an IPv4 address with a port, such as "127.0.0.1:80". Host names aren't resolved.
-auto parseEndpoint(std::string_view address) -> absl::StatusOr<Endpoint>;
-
 //-----------------------------------------------------------------------------
 // [SECTION] Server
 //-----------------------------------------------------------------------------
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -15,6 +15,18 @@
 
 namespace peridotwalk {
 
+// Priorities of a loop's events. By default they have the middle one, which is kNormalPriority.
+constexpr int kPriorities = 2;
+constexpr int kUrgentPriority = 0;
+constexpr int kNormalPriority = 1;
+
+inline auto toTimeval(TimeMs ms) -> timeval
+{
+    constexpr TimeMs kMsPerSecond = 1'000;
+    return {static_cast<time_t>(ms / kMsPerSecond),
+            static_cast<suseconds_t>(ms % kMsPerSecond * kMsPerSecond)};
+}
+
 // Copies headers, with names in lower case.
 inline auto copyHeaders(const evkeyvalq *headers) -> std::map<std::string, std::string>
 {
--- a/src/http/json_call.h
+++ b/src/http/json_call.h
@@ -54,6 +54,13 @@
     throw Json::other_error::create(kReasonError, reason, nullptr);
 }
 
+inline auto failUnlessOk(const absl::Status &status) -> void
+{
+    if (!status.ok()) {
+        failJson(std::string(status.message()));
+    }
+}
+
 // Returns a number as an integer, without its fraction. Throws a Json::exception if it is no number or out
 // of range; the library would convert it to any value.
 inline auto readInteger(const Json &value) -> std::int64_t
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t kMaxWallMs = 100'000'000'000'000; // In the year 5138.
-
 auto badJob(std::string_view reason) -> absl::Status
 {
     return makeError(absl::StatusCode::kInvalidArgument, "job.check", "caller", reason);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -18,6 +18,7 @@
 // [SECTION] ResourceSet
 //-----------------------------------------------------------------------------
 
+constexpr std::int64_t kMaxWallMs = 100'000'000'000'000; // In the year 5138.
 constexpr std::int64_t kMaxAmount = 1'000'000'000; // Keeps sums over 10,000 tasks inside 64 bits.
 
 struct ResourceSet {
@@ -152,6 +153,22 @@
 // Returns the task, or nullptr if it doesn't exist or its occurrence wasn't created yet.
 auto findTask(Job &job, const TaskRef &ref) -> JobTask *;
 
+// Calls visit(TaskRef, JobTask &) for each task of the occurrences created so far.
+template <typename Visit>
+auto forEachTask(Job &job, const Visit &visit) -> void
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto &tasks = occurrence.steps[step];
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                visit(TaskRef{job.spec.id, number, static_cast<std::int64_t>(step),
+                              static_cast<std::int64_t>(index)},
+                      tasks[index]);
+            }
+        }
+    }
+}
+
 // Returns the estimated work of all tasks that aren't done, in core-milliseconds.
 auto remainingWork(const JobSpec &spec, const Occurrence &occurrence) -> std::int64_t;
 
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -87,28 +87,20 @@
         if (!entry.job.isOver()) {
             active_.insert(id);
         }
-        for (auto &[number, occurrence] : entry.job.occurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                    const auto &task = occurrence.steps[step][index];
-                    entry.hasBegun = entry.hasBegun || task.isDone || task.failures > 0;
-                    if (!task.isLive()) {
-                        continue;
-                    }
-                    const auto ref = TaskRef{id, number, static_cast<std::int64_t>(step),
-                                             static_cast<std::int64_t>(index)};
-                    auto      &worker = workers_[task.worker];
-                    worker.peer.id = task.worker;
-                    auto run = RunState{};
-                    run.run = task.run;
-                    run.need = capacityNeed(stepOf(entry, ref));
-                    run.isUnbounded = stepOf(entry, ref).isUnbounded;
-                    run.isSent = true;
-                    run.isRestored = true;
-                    allocate(worker, ref, run);
-                }
+        forEachTask(entry.job, [&](const TaskRef &ref, const JobTask &task) {
+            entry.hasBegun = entry.hasBegun || task.isDone || task.failures > 0;
+            if (!task.isLive()) {
+                return;
             }
-        }
+            auto &worker = workers_[task.worker];
+            worker.peer.id = task.worker;
+            auto run = RunState{};
+            run.run = task.run;
+            run.need = capacityNeed(stepOf(entry, ref));
+            run.isSent = true;
+            run.isRestored = true;
+            allocate(worker, ref, run);
+        });
     }
     onViewChanged(now);
 }
@@ -171,27 +163,13 @@
 
 auto PoolScheduler::State::stopRuns(Moment now, JobEntry &entry) -> void
 {
-    auto live = std::vector<std::pair<TaskRef, std::string>>();
-    for (const auto &[number, occurrence] : entry.job.occurrences) {
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                const auto &task = occurrence.steps[step][index];
-                if (task.isLive()) {
-                    live.emplace_back(TaskRef{entry.job.spec.id, number,
-                                              static_cast<std::int64_t>(step),
-                                              static_cast<std::int64_t>(index)},
-                                      task.worker);
-                }
-            }
-        }
-    }
-    for (const auto &[ref, id] : live) {
-        const auto worker = workers_.find(id);
+    forEachTask(entry.job, [&](const TaskRef &ref, const JobTask &task) {
+        const auto worker = workers_.find(task.worker);
         if (worker != workers_.end() && worker->second.runs.contains(ref)
             && !worker->second.runs.at(ref).isStopping) {
             requestStop(now, worker->second, ref);
         }
-    }
+    });
 }
 
 // Records the end of a run and frees the capacity that it occupied. Repeated and outdated ends are
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -204,34 +204,14 @@
     needsSchedule_ = needsSchedule_ || isRoundFull();
 }
 
-auto PoolScheduler::State::isWithinAllowance(const std::string &tenant,
-                                             const ResourceSet &need) const -> bool
-{
-    const auto *rule = view_.catalog.tenant(tenant);
-    if (rule == nullptr) {
-        return true; // A queue that is open to all has no tenant.
-    }
-    const auto allowance = allowances_.find(tenant);
-    const auto limit = allowance == allowances_.end() ? ResourceSet{} : allowance->second;
-    const auto found = tenantUsed_.find(tenant);
-    auto       used = found == tenantUsed_.end() ? ResourceSet{} : found->second;
-    used += need;
-    const auto within = [](std::int64_t maximum, std::int64_t share, std::int64_t amount) {
-        return maximum == 0 || amount <= share;
-    };
-    return within(rule->maximum.cpu, limit.cpu, used.cpu)
-        && within(rule->maximum.memoryMb, limit.memoryMb, used.memoryMb)
-        && within(rule->maximum.accelerators, limit.accelerators, used.accelerators);
-}
-
-// Returns how many more of these tasks the tenant's allowance covers, beyond those in use and those
-// that wait and are covered already.
+// Returns how many of these tasks the tenant's allowance covers, beyond what it uses and `planned`.
 auto PoolScheduler::State::countWithinAllowance(const std::string &tenant, const ResourceSet &need,
-                                                std::int64_t tasks) const -> std::int64_t
+                                                std::int64_t       tasks,
+                                                const ResourceSet &planned) const -> std::int64_t
 {
     const auto *rule = view_.catalog.tenant(tenant);
     if (rule == nullptr) {
-        return tasks;
+        return tasks; // A queue that is open to all has no tenant.
     }
     const auto find = [&](const std::map<std::string, ResourceSet> &amounts) {
         const auto found = amounts.find(tenant);
@@ -239,7 +219,7 @@
     };
     auto remaining = find(allowances_);
     remaining -= find(tenantUsed_);
-    remaining -= find(tenantCovered_);
+    remaining -= planned;
     const auto within = [&](std::int64_t maximum, std::int64_t left, std::int64_t each) {
         if (maximum == 0) {
             return tasks;
@@ -255,6 +235,12 @@
          within(rule->maximum.accelerators, remaining.accelerators, need.accelerators)});
 }
 
+auto PoolScheduler::State::isWithinAllowance(const std::string &tenant,
+                                             const ResourceSet &need) const -> bool
+{
+    return countWithinAllowance(tenant, need, 1, {}) > 0;
+}
+
 // Adds waiting tasks of a step to the demand. Tasks beyond their tenant's allowance count towards a
 // larger allowance, but not towards more workers. Neither do those of expired jobs: they take what is
 // left, as workers that go to them are missing where a job can still be in time.
@@ -269,8 +255,9 @@
     if (isRoundFull()) {
         return; // These tasks wait for the owner, not for workers.
     }
-    const auto covered = countWithinAllowance(tenant, spec.need, tasks);
-    tenantCovered_[tenant] += spec.need * covered;
+    auto      &planned = tenantCovered_[tenant];
+    const auto covered = countWithinAllowance(tenant, spec.need, tasks, planned);
+    planned += spec.need * covered;
     if (step.isUnbounded || step.timeliness == Timeliness::OnTime) {
         wanted_ += capacityNeed(spec) * covered;
     } else if (step.timeliness == Timeliness::Late) {
@@ -343,7 +330,6 @@
         auto state = RunState{};
         state.run = run + 1;
         state.need = capacityNeed(spec);
-        state.isUnbounded = spec.isUnbounded;
         allocate(*worker, ref, state);
         placed.emplace_back(worker, ref);
     }
@@ -519,7 +505,6 @@
     auto run = RunState{};
     run.run = task.run;
     run.need = capacityNeed(stepOf(entry, ref));
-    run.isUnbounded = step.isUnbounded;
     run.isExpired = !step.isUnbounded && step.timeliness == Timeliness::Expired;
     allocate(worker, ref, run);
     if (entry.job.state == JobState::Queued) {
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -23,7 +23,6 @@
 struct RunState {
     std::int64_t run = 0;
     ResourceSet  need;                // Occupied capacity.
-    bool         isUnbounded = false; // Runs until it is stopped.
     bool         isExpired = false;   // Placed when its job was past any use of its result.
     bool         isSent = false;      // The start order was sent at least once.
     bool         isConfirmed = false; // The worker has it.
@@ -232,7 +231,7 @@
     auto isWithinAllowance(const std::string &tenant, const ResourceSet &need) const -> bool;
     auto addDemand(const ReadyStep &step, std::int64_t tasks) -> void;
     auto countWithinAllowance(const std::string &tenant, const ResourceSet &need,
-                              std::int64_t tasks) const -> std::int64_t;
+                              std::int64_t tasks, const ResourceSet &planned) const -> std::int64_t;
     auto addUnplaceable(const ResourceSet &need) -> void;
     auto isRoundFull() const -> bool { return placed_ >= settings_.maxPlacedPerRound; }
     auto endDelay() const -> TimeMs; // Until ended runs of a worker are fetched again.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -130,8 +130,8 @@
     const auto &step = stepOf(entry, ref);
     const auto  freeBefore = worker.freeCapacity().cpu;
     worker.used += run.need;
-    worker.unboundedTasks += run.isUnbounded ? 1 : 0;
-    worker.unboundedCpu += run.isUnbounded ? run.need.cpu : 0;
+    worker.unboundedTasks += step.isUnbounded ? 1 : 0;
+    worker.unboundedCpu += step.isUnbounded ? run.need.cpu : 0;
     worker.expiredCpu += run.isExpired ? run.need.cpu : 0;
     worker.servingTasks += isServing(step) ? 1 : 0;
     tenantUsed_[entry.job.spec.tenant] += step.need;
@@ -148,8 +148,8 @@
     const auto &run = held->second;
     const auto  freeBefore = worker.freeCapacity().cpu;
     worker.used -= run.need;
-    worker.unboundedTasks -= run.isUnbounded ? 1 : 0;
-    worker.unboundedCpu -= run.isUnbounded ? run.need.cpu : 0;
+    worker.unboundedTasks -= step.isUnbounded ? 1 : 0;
+    worker.unboundedCpu -= step.isUnbounded ? run.need.cpu : 0;
     worker.expiredCpu -= run.isExpired ? run.need.cpu : 0;
     worker.servingTasks -= isServing(step) ? 1 : 0;
     tenantUsed_[entry.job.spec.tenant] -= step.need;
--- a/src/services/services.cpp
+++ b/src/services/services.cpp
@@ -1,19 +1,15 @@
 #include "services/services.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 
 namespace peridotwalk {
 
 namespace {
 
-constexpr std::size_t  kMaxNameBytes = 255; // The platform's keys have a length of one byte.
-constexpr std::size_t  kMaxLabels = 64;
-constexpr std::size_t  kMaxMachines = 100'000;
-constexpr std::int64_t kMaxPort = 65'535;
-constexpr std::int64_t kMaxWallMs = 100'000'000'000'000; // In the year 5138.
-constexpr TimeMs       kMaxWaveMs = 365LL * 24 * 3'600 * 1'000;
+constexpr std::size_t kMaxNameBytes = 255; // The platform's keys have a length of one byte.
+constexpr std::size_t kMaxLabels = 64;
+constexpr std::size_t kMaxMachines = 100'000;
+constexpr TimeMs      kMaxWaveMs = 365LL * 24 * 3'600 * 1'000;
 
 auto badEntry(std::string_view step, const std::string &name, std::string_view reason)
     -> absl::Status
@@ -27,18 +23,11 @@
     return !name.empty() && name.size() <= kMaxNameBytes;
 }
 
-// Returns whether a connection to the address can be tried: an IPv4 number, a colon and a port from 1.
+// Returns whether a connection to the address can be tried.
 auto isDialable(std::string_view address) -> bool
 {
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    auto       parsed = in_addr{};
-    const auto host = std::string(address.substr(0, colon));
-    const auto port = parseInteger(address.substr(colon + 1));
-    return inet_pton(AF_INET, host.c_str(), &parsed) == 1 && port && *port >= 1
-        && *port <= kMaxPort;
+    const auto endpoint = parseEndpoint(address);
+    return endpoint.ok() && endpoint->port > 0;
 }
 
 auto areLabels(const std::set<std::string> &labels) -> bool
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -91,6 +91,15 @@
         }
     }
 
+    // As run(), while another pool reports as well.
+    auto runBeside(const PoolReport &other, int rounds) -> void
+    {
+        for (auto round = 0; round < rounds; ++round) {
+            planner_.onReport(now_, other);
+            run(100);
+        }
+    }
+
     auto perform(const std::vector<PlannerAction> &actions) -> void
     {
         for (const auto &action : actions) {
@@ -561,10 +570,7 @@
             fleet.worker(number).cpu = 60'000;
             fleet.worker(number).expiredCpu = expiredCpu;
         }
-        for (auto round = 0; round < 20; ++round) {
-            fleet.planner().onReport(fleet.now(), other);
-            fleet.run(100);
-        }
+        fleet.runBeside(other, 20);
         return std::ranges::count_if(fleet.report().workers,
                                      [](const auto &worker) { return worker.isCordoned; });
     };
@@ -590,10 +596,7 @@
     other.workers.push_back(load);
     const auto run = [&](std::int64_t wantedByOther, int rounds) {
         other.wanted = {wantedByOther, 0, 0};
-        for (auto round = 0; round < rounds; ++round) {
-            fleet.planner().onReport(fleet.now(), other);
-            fleet.run(100);
-        }
+        fleet.runBeside(other, rounds);
     };
     fleet.worker(0).cpu = 60'000;
     run(0, 30);
