--- a/emulator/store.py
+++ b/emulator/store.py
@@ -102,6 +102,15 @@
                  if target == name and self.owner.get(part) == name]
         return {"generation": self.generation, "parts": parts}
 
+    def reassign(self):
+        """Moves every partition to the next member at once; none is released first."""
+        self.expire()
+        names = sorted(self.members)
+        if names:
+            self.generation += 1
+            self.target = {part: names[(names.index(owner) + 1) % len(names)] for part, owner in self.target.items()}
+            self.owner = dict(self.target)
+
     def owners(self):
         self.expire()
         return [[self.topic, part, owner, 0] for part, owner in sorted(self.owner.items())]
@@ -129,6 +138,10 @@
             for partition in parts.values():
                 partition.truncate()
 
+    def reassign_partitions(self):
+        for group in self.groups.values():
+            group.reassign()
+
     async def handle(self, request):
         fault = self.fault(request)
         if fault == "silent":
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -100,11 +100,13 @@
     }
     const auto now = bootMs();
     lastContactAt_ = now;
-    const auto isNewGeneration = membership->generation != ownership_.generation();
+    const auto previous = ownership_.generation();
+    const auto isNewGeneration = membership->generation != previous;
     const auto change = ownership_.onRenewed(sentAt, now, *membership);
     if (isNewGeneration) {
         logEvent(LogLevel::Info, "ownership.generation",
                  {{"generation", membership->generation},
+                  {"previous", previous},
                   {"held", membership->partitions.size()},
                   {"lost", change.lost.size()},
                   {"acquired", change.acquired.size()}});
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -11,10 +11,11 @@
 auto Ownership::onRenewed(TimeMs sentAt, TimeMs now, const Membership &membership)
     -> OwnershipChange
 {
-    // No other member can have held the partitions in between if the renewal succeeded before the last one
-    // expired, or if the group's generation is unchanged.
-    const auto isUninterrupted = now < expiresAt_ || membership.generation == generation_;
-    auto       change = OwnershipChange{};
+    // Moving a partition to another member and back takes two generations, and the store may make both
+    // between two renewals.
+    const auto isUninterrupted = membership.generation == generation_
+        || (membership.generation == generation_ + 1 && now < expiresAt_);
+    auto change = OwnershipChange{};
     for (const auto &[partition, token] : tokens_) {
         if (!isUninterrupted || !membership.partitions.contains(partition)) {
             change.lost.insert(partition);
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -2,9 +2,12 @@
 // clocks.
 //
 // Each pool belongs to a partition of an ownership group that the platform's store keeps. A member holds
-// its partitions until its term ends, and extends the term with each renewal; the store gives them to no
-// other member before. A term counts from the time at which its renewal was sent, on a clock that includes
-// the time for which a machine is suspended.
+// its partitions until its term ends, and extends the term with each renewal. A term counts from the time
+// at which its renewal was sent, on a clock that includes the time for which a machine is suspended.
+//
+// The store may reassign partitions before a term ends, so a term only bounds how long a member acts on an
+// assignment that was withdrawn. What decides is the fencing token: each new owner makes the store refuse
+// all lower ones. A partition keeps its token only while no other member can have owned it.
 //
 // Index of this file
 // [SECTION] Ownership
@@ -39,7 +42,8 @@
     explicit Ownership(const OwnershipSettings &settings) : settings_(settings) { }
 
     // Commands.
-    // Applies the reply to a renewal that was sent at `sentAt` and answered at `now`.
+    // Applies the reply to a renewal that was sent at `sentAt` and answered at `now`. A partition that
+    // another member may have owned since the last renewal is both lost and acquired: it gets a new token.
     auto onRenewed(TimeMs sentAt, TimeMs now, const Membership &membership) -> OwnershipChange;
     auto leave() -> OwnershipChange; // Gives up all partitions, and ends the term.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -185,6 +185,12 @@
     async def truncate_history(self):
         self.store.truncate_history()
 
+    async def reassign_partitions(self):
+        """In series, at times faster than nodes renew."""
+        for _ in range(self.random.randint(1, 4)):
+            self.store.reassign_partitions()
+            await asyncio.sleep(self.random.uniform(0.05, 0.6))
+
     async def crash_worker(self):
         worker = self.random.choice(self.workers)
         self.workers.remove(worker)
@@ -193,7 +199,8 @@
 
     async def inject(self, seconds):
         faults = [self.kill_node, self.roll_node, self.pause_node, self.reload_node, self.isolate_node_from_store,
-                  self.isolate_worker, self.inject_store_fault, self.truncate_history, self.crash_worker]
+                  self.isolate_worker, self.inject_store_fault, self.truncate_history, self.reassign_partitions,
+                  self.crash_worker]
         running_faults = set()
         until = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < until:
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -27,7 +27,11 @@
                 OutcomeSlot          slot) -> void override
     {
         appends.push_back(writer);
-        loop_.post([slot] { slot(CallOutcome::Done); });
+        if (areAppendsLost) {
+            return; // The caller's own timeout is what ends the wait.
+        }
+        const auto isFenced = writer.epoch < fencedBelow;
+        loop_.post([slot, isFenced] { slot(isFenced ? CallOutcome::Fenced : CallOutcome::Done); });
     }
     auto readNewest(std::int64_t /*partition*/, RecordsSlot slot) -> void override
     {
@@ -37,6 +41,10 @@
               JoinSlot slot) -> void override
     {
         ++joins;
+        if (areRenewalsLost) {
+            loop_.post([slot] { slot(absl::UnavailableError("no answer")); });
+            return;
+        }
         auto membership = Membership{generation, {}};
         for (std::int64_t partition = 0; partition < 16; ++partition) {
             membership.partitions.insert(partition);
@@ -93,6 +101,9 @@
     }
 
     std::int64_t               generation = 5;
+    std::int64_t               fencedBelow = 0; // Appends with a lower epoch are refused.
+    bool                       areAppendsLost = false;
+    bool                       areRenewalsLost = false;
     std::vector<JournalWriter> fences;
     std::vector<JournalWriter> appends;
     bool                       hasLeft = false;
@@ -114,6 +125,29 @@
         directory.start();
     }
 
+    // Another member takes every partition over and fences it, and the store gives all of them back before
+    // this node renews.
+    auto reassignToAnotherAndBack() -> void
+    {
+        store.fencedBelow = store.generation + 1;
+        store.generation += 2;
+    }
+
+    // Returns the answer to a submission of a job, or nothing within 500 ms.
+    auto submit(const std::string &id) -> std::optional<PoolStatus>
+    {
+        auto spec = JobSpec{};
+        spec.id = id;
+        spec.queue = "queue";
+        spec.pool = "pool";
+        spec.steps.emplace_back();
+        const auto status = std::make_shared<std::optional<PoolStatus>>();
+        pools.handle({PoolVerb::Submit, "pool", id, "queue", std::move(spec)},
+                     [status](const PoolAnswer &answer) { *status = answer.status; });
+        run(500);
+        return *status;
+    }
+
     // Makes one member the owner of every partition.
     auto assignAll(const std::string &member) -> void
     {
@@ -190,6 +224,62 @@
     cr_assert_eq(node.pools.pools().at("pool")->identity().token, 5);
 }
 
+// Guards against accepted jobs without an owner: the scheduler of a token that another owner has fenced
+// does nothing more, and none took its place.
+Test(node, a_pool_that_was_reassigned_and_returned_gets_a_scheduler_under_a_new_token)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.reassignToAnotherAndBack();
+    node.run(600);
+    cr_assert_eq(node.store.fences.back().epoch, 7);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_eq(node.store.appends.back().epoch, 7);
+}
+
+// Guards against the same while the answers of renewals are lost, so that no generation in between is seen.
+Test(node, a_reassignment_during_lost_renewals_gives_a_new_token)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.store.areRenewalsLost = true;
+    node.run(600);
+    node.reassignToAnotherAndBack();
+    node.run(300);
+    node.store.areRenewalsLost = false;
+    node.run(600);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_eq(node.store.appends.back().epoch, 7);
+}
+
+// Guards against a pool that waits forever for the record of its handover under the old token.
+Test(node, a_lost_append_doesnt_keep_a_returned_pool_without_a_scheduler)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.store.areAppendsLost = true;
+    node.reassignToAnotherAndBack();
+    node.run(1'100);
+    node.store.areAppendsLost = false;
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_eq(node.store.appends.back().epoch, 7);
+}
+
+// Guards against a scheduler under the token of the first reassignment if another follows before its
+// takeover has ended.
+Test(node, reassignments_in_a_row_leave_one_scheduler_under_the_last_token)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.reassignToAnotherAndBack();
+    node.run(455);
+    node.reassignToAnotherAndBack();
+    node.run(1'100);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_eq(node.store.appends.back().epoch, 9);
+    cr_assert_eq(node.pools.pools().size(), 1U);
+}
+
 // Otherwise the partitions would stay unavailable until the membership of the dead process expires.
 Test(node, removes_its_previous_incarnation_at_the_start)
 {
--- a/tests/unit/test_ownership.cpp
+++ b/tests/unit/test_ownership.cpp
@@ -36,6 +36,18 @@
     cr_assert_eq(change.acquired.at(3), 8);
 }
 
+// Guards against a service without a scheduler: another member had the partition between two renewals and
+// has fenced the old token, so the store refuses everything under it.
+Test(ownership, gets_a_new_token_after_a_reassignment_to_another_member_and_back)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    const auto change = ownership.onRenewed(1'450, 1'460, {7, {3}});
+    cr_assert(change.lost.contains(3));
+    cr_assert_eq(change.acquired.at(3), 7);
+    cr_assert_eq(ownership.tokens().at(3), 7);
+}
+
 Test(ownership, keeps_its_token_after_an_outage_in_which_the_group_didnt_change)
 {
     auto ownership = Ownership({});
