--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -514,6 +514,10 @@
     ++placed_;
     markChanged(entry.job.spec.id);
     afterAppend(StartEffect{ref, task.run, worker.peer.id});
+    // An idle worker isn't held, so it may have ended or restarted. It is asked while the journal is written.
+    if (!hasJustAnswered(now, worker) && !worker.isHoldInFlight) {
+        sendHold(now, worker);
+    }
 }
 
 } // namespace peridotwalk
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -19,11 +19,15 @@
 // [SECTION] Workers
 //-----------------------------------------------------------------------------
 
+constexpr std::int64_t kNoStartedAt = -1;     // The worker hasn't answered this owner yet.
+constexpr TimeMs       kMinRestartMs = 1'000; // A worker can't restart within that time.
+
 // A run that occupies capacity of a worker, from its placement until it is known to be over.
 struct RunState {
     std::int64_t run = 0;
     ResourceSet  need;                // Occupied capacity.
     bool         isExpired = false;   // Placed when its job was past any use of its result.
+    bool         isRecorded = false;  // The journal has it, so its start order may be sent.
     bool         isSent = false;      // The start order was sent at least once.
     bool         isConfirmed = false; // The worker has it.
     TimeMs       confirmedAt = 0;
@@ -54,17 +58,17 @@
     std::int64_t                expiredCpu = 0; // Occupied by timed tasks placed as expired.
     std::int64_t                servingTasks = 0;
     std::map<TaskRef, RunState> runs;
-    std::int64_t                startedAtMs = -1; // Start of its incarnation. -1: not reported yet.
-    std::int64_t                seenEnd = 0;      // Number of the last ended run read. 0: none.
-    std::int64_t                recordedEnd = 0;  // Number of the last one in the journal. 0: none.
-    TimeMs                      clockMs = 0;      // The worker's clock, as last reported.
-    TimeMs                      clockAt = 0;      // When it was reported. 0: never.
-    TimeMs                      leaseUntilMs = 0; // Latest lease end sent, on the worker's clock.
-    TimeMs                      nextHoldAt = 0;   // Earliest time of the next hold.
-    TimeMs                      lastHeldAt = 0;   // Last answered hold.
-    int                         holdFailures = 0; // In a row. Above 0 the worker counts as silent.
-    int                         consecutiveFailures = 0; // Failed runs in a row.
-    TimeMs                      backoffUntil = 0;        // Gets no new runs before.
+    std::int64_t startedAtMs = kNoStartedAt; // Start of the incarnation that answered last.
+    std::int64_t seenEnd = 0;                // Number of the last ended run read. 0: none.
+    std::int64_t recordedEnd = 0;            // Number of the last one in the journal. 0: none.
+    TimeMs       clockMs = 0;                // The worker's clock, as last reported.
+    TimeMs       clockAt = 0;                // When it was reported. 0: never.
+    TimeMs       leaseUntilMs = 0;           // Latest lease end sent, on the worker's clock.
+    TimeMs       nextHoldAt = 0;             // Earliest time of the next hold.
+    TimeMs       lastHeldAt = 0;             // Last answered hold.
+    int          holdFailures = 0;           // In a row. Above 0 the worker counts as silent.
+    int          consecutiveFailures = 0;    // Failed runs in a row.
+    TimeMs       backoffUntil = 0;           // Gets no new runs before.
 
     auto freeCapacity() const -> ResourceSet; // Capacity that isn't in use.
 };
@@ -191,6 +195,7 @@
     auto onViewChanged(Moment now) -> void;
     auto allocate(Worker &worker, const TaskRef &ref, const RunState &run) -> void;
     auto dispatch(Moment now, const StartEffect &effect) -> void;
+    auto startRecorded(Moment now, Worker &worker, const TaskRef &ref) -> void;
     auto sendStart(Moment now, Worker &worker, const TaskRef &ref, RunState &run) -> void;
     auto requestStop(Moment now, Worker &worker, const TaskRef &ref) -> void;
     auto sendStop(Worker &worker, const TaskRef &ref, RunState &run) -> void;
@@ -207,14 +212,18 @@
     auto sendHold(Moment now, Worker &worker) -> void;
     auto tickWorker(Moment now, Worker &worker) -> void;
     auto controlPace(Worker &worker) -> void;
-    auto extendLease(Moment now, Worker &worker) -> TimeMs;
-    auto leaseExpiry(const Worker &worker) const -> TimeMs;
-    auto setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
     auto maySendStarts(Moment now) const -> bool;
     auto isViewFresh(Moment now) const -> bool;
     auto isUsable(Moment now, const Worker &worker) const -> bool; // For new runs.
     auto mayStartOn(const Worker &worker) const -> bool;           // For runs already placed.
 
+    // Leases (leases.cpp)
+    auto        setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
+    auto        extendLease(Moment now, Worker &worker) -> TimeMs;
+    auto        leaseExpiry(const Worker &worker) const -> TimeMs;
+    auto        earlierLease(Moment now, const Worker &worker) const -> TimeMs;
+    static auto hasJustAnswered(Moment now, const Worker &worker) -> bool;
+
     // Placement (placement.cpp)
     auto noteTick(Moment now) -> void;
     auto schedule(Moment now) -> void;
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -8,10 +8,7 @@
 
 namespace {
 
-constexpr double       kClockError = 1.03;     // Factor: workers' clocks may be 2 % slow.
-constexpr TimeMs       kClockSlackMs = 300;    // Margin for the delay of a clock reading.
 constexpr std::size_t  kFullPage = 500;        // A listing of that many ends may be incomplete.
-constexpr TimeMs       kFreshHoldMs = 1'000;   // A worker can't restart within that time.
 constexpr TimeMs       kStalledHoldMs = 1'000; // Hold interval while ends wait for the journal.
 constexpr TimeMs       kStartBackoffMs = 500;  // Backoff after a failed start.
 constexpr double       kPaceDownAt = 0.8;      // Fillers slow down above this part of the target,
@@ -64,7 +61,7 @@
         && now.steadyMs >= worker.backoffUntil;
 }
 
-// A run that was placed before its worker was cordoned may still start; draining the worker covers it.
+// A run whose start order was sent before its worker was cordoned may still start; draining the worker covers it.
 auto PoolScheduler::State::mayStartOn(const Worker &worker) const -> bool
 {
     return worker.isListed && worker.hasAnsweredHold && !worker.report.isDraining
@@ -82,47 +79,6 @@
     return now.steadyMs - view_.readAt < settings_.maxViewAgeMs;
 }
 
-auto PoolScheduler::State::setClock(Moment now, Worker &worker, TimeMs clockMs) -> void
-{
-    if (clockMs > 0) {
-        worker.clockMs = clockMs;
-        worker.clockAt = now.steadyMs;
-    }
-}
-
-// Returns when the lease of a silent worker has expired for certain, on our steady clock.
-auto PoolScheduler::State::leaseExpiry(const Worker &worker) const -> TimeMs
-{
-    const auto lease =
-        static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError) + kClockSlackMs;
-    if (!worker.hasAnsweredHold || worker.clockAt == 0) {
-        if (previousHandover_ && previousHandover_->expiresInMs.contains(worker.peer.id)) {
-            return ownedSince_ + previousHandover_->expiresInMs.at(worker.peer.id);
-        }
-        // The previous owner may have extended leases until its offline extension ended. But no owner
-        // extends the lease of a worker whose entry it has seen removed, or without a fresh view.
-        const auto byOwner = ownedSince_ + settings_.offlineExtensionMs + lease;
-        const auto missingSince = view_.missingSince(worker.peer.id);
-        if (worker.isListed || !missingSince) {
-            return byOwner;
-        }
-        return std::min(byOwner, *missingSince + settings_.maxViewAgeMs + lease);
-    }
-    const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
-    return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
-        + kClockSlackMs;
-}
-
-// Returns the lease end to send. The lease of a silent worker isn't extended, so that it expires.
-auto PoolScheduler::State::extendLease(Moment now, Worker &worker) -> TimeMs
-{
-    if (worker.holdFailures == 0) {
-        const auto until = worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
-        worker.leaseUntilMs = std::max(worker.leaseUntilMs, until);
-    }
-    return worker.leaseUntilMs;
-}
-
 // Adds a run to its worker and to the usage of its tenant. release() is the inverse.
 auto PoolScheduler::State::allocate(Worker &worker, const TaskRef &ref, const RunState &run) -> void
 {
@@ -193,11 +149,22 @@
     if (run.run != effect.run || run.isSent) {
         return;
     }
-    if (run.isStopping || !mayStartOn(worker) || !maySendStarts(now)) {
-        abandon(now, worker, effect.task, "may not start any more");
-        return;
+    run.isRecorded = true;
+    startRecorded(now, worker, effect.task);
+}
+
+// Sends the first start order of a run in the journal once its worker has answered. A run that may not
+// start any more, or whose worker doesn't answer, is given up: no order has left, so it needs no stop.
+auto PoolScheduler::State::startRecorded(Moment now, Worker &worker, const TaskRef &ref) -> void
+{
+    auto &run = worker.runs.at(ref);
+    if (run.isStopping || !mayStartOn(worker) || worker.isCordoned || !maySendStarts(now)) {
+        abandon(now, worker, ref, "may not start any more");
+    } else if (worker.holdFailures > 0) {
+        abandon(now, worker, ref, "the worker doesn't answer");
+    } else if (hasJustAnswered(now, worker)) {
+        sendStart(now, worker, ref, run);
     }
-    sendStart(now, worker, effect.task, run);
 }
 
 auto PoolScheduler::State::sendStart(Moment now, Worker &worker, const TaskRef &ref, RunState &run)
@@ -340,17 +307,19 @@
     hold.order.token = identity_.token;
     const auto hasUnrecorded = worker.seenEnd > worker.recordedEnd;
     const auto isFresh = worker.hasAnsweredHold && worker.holdFailures == 0
-        && now.steadyMs - worker.lastHeldAt < kFreshHoldMs + settings_.holdWaitMs;
+        && now.steadyMs - worker.lastHeldAt < kMinRestartMs + settings_.holdWaitMs;
+    const auto mayRun =
+        std::ranges::any_of(worker.runs, [](const auto &item) { return item.second.isSent; });
     // If the worker may have restarted, its ends have new numbers: acknowledging old ones would drop
     // ends that were never read.
     hold.order.acknowledgedEnd = isFresh ? worker.recordedEnd : 0;
-    if (isFresh && !hasUnrecorded && !worker.runs.empty()) {
+    if (isFresh && !hasUnrecorded && mayRun) {
         const auto isPaced = std::ranges::any_of(
             worker.runs, [](const auto &item) { return item.second.need.cpu == 0; });
         hold.order.waitMs = isPaced ? kPacedHoldMs : settings_.holdWaitMs;
     }
     const auto mayExtend = !previousHandover_ || isHandoverRemoved_;
-    if (mayExtend && worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
+    if (mayExtend && mayRun && worker.clockAt > 0 && worker.holdFailures == 0 && worker.isListed
         && isViewFresh(now) && now.steadyMs < termUntil_ + settings_.offlineExtensionMs) {
         hold.order.leaseUntilMs = extendLease(now, worker);
     }
@@ -386,10 +355,10 @@
     }
     setClock(now, worker, reply.clockMs);
     if (worker.startedAtMs != reply.startedAtMs) {
+        worker.leaseUntilMs = reply.clockMs + earlierLease(now, worker);
         worker.startedAtMs = reply.startedAtMs;
         worker.seenEnd = 0;
         worker.recordedEnd = 0;
-        worker.leaseUntilMs = reply.clockMs + settings_.leaseMs;
     }
     worker.hasAnsweredHold = true;
     worker.holdFailures = 0;
@@ -516,7 +485,12 @@
         return;
     }
     auto due = std::vector<TaskRef>();
+    auto unsent = std::vector<TaskRef>();
     for (const auto &[ref, run] : worker.runs) {
+        if (run.isRecorded && !run.isSent) {
+            unsent.push_back(ref);
+            continue;
+        }
         const auto needsOrder =
             run.isStopping ? !run.isStopConfirmed : run.isSent && !run.isConfirmed;
         if (needsOrder && !run.isOrderInFlight && !run.isRestored && now.steadyMs >= run.retryAt) {
@@ -533,6 +507,9 @@
             requestStop(now, worker, ref);
         }
     }
+    for (const auto &ref : unsent) {
+        startRecorded(now, worker, ref);
+    }
     const auto needsHold = !worker.runs.empty() || (worker.isListed && !worker.hasAnsweredHold)
         || worker.seenEnd > worker.recordedEnd || worker.holdFailures > 0;
     if (!worker.isHoldInFlight && needsHold && now.steadyMs >= worker.nextHoldAt) {
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -129,17 +129,25 @@
     drain();
 }
 
+auto PoolWorld::restart(const std::string &id, TimeMs downMs) -> void
+{
+    auto &worker = workers_.at(id);
+    worker.isUp = false;
+    forgetRuns(worker);
+    runLater(downMs, [this, &worker] {
+        worker.isUp = true;
+        worker.startedAt = now_.steadyMs;
+        worker.token = 0;
+        worker.leaseUntil = 0;
+        worker.voided.clear();
+    });
+}
+
 auto PoolWorld::crash(const std::string &id) -> void
 {
     auto &worker = workers_.at(id);
     worker.isUp = false;
-    worker.running.clear();
-    // Ends that no owner has acknowledged are lost with the worker, so their tasks may run again.
-    for (const auto &ended : worker.ended) {
-        done_[ended.task] -= ended.end == RunEnd::Done ? 1 : 0;
-        failed_[ended.task] -= ended.end == RunEnd::Failed ? 1 : 0;
-    }
-    worker.ended.clear();
+    forgetRuns(worker);
     runLater(kEntryRemovalMs, [this, id] {
         changeView([&](FleetView &view) {
             view.workers.erase(id);
@@ -148,6 +156,27 @@
     });
 }
 
+auto PoolWorld::forgetRuns(FakeWorker &worker) -> void
+{
+    worker.running.clear();
+    forgetEnds(worker);
+    worker.ended.clear();
+    worker.lastEnd = 0;
+    worker.forgottenEnd = 0;
+}
+
+// Ends that no owner has acknowledged may be lost with the worker or its lease: their tasks may run again.
+auto PoolWorld::forgetEnds(FakeWorker &worker) -> void
+{
+    for (const auto &ended : worker.ended) {
+        if (ended.number > worker.forgottenEnd) {
+            done_[ended.task] -= ended.end == RunEnd::Done ? 1 : 0;
+            failed_[ended.task] -= ended.end == RunEnd::Failed ? 1 : 0;
+        }
+    }
+    worker.forgottenEnd = worker.lastEnd;
+}
+
 auto PoolWorld::run(TimeMs ms) -> void
 {
     for (const auto until = now_.steadyMs + ms; now_.steadyMs < until;) {
@@ -155,24 +184,42 @@
     }
 }
 
+auto PoolWorld::countUp() const -> std::ptrdiff_t
+{
+    return std::ranges::count_if(workers_, [](const auto &item) { return item.second.isUp; });
+}
+
+auto PoolWorld::chooseUp() -> std::string
+{
+    auto up = std::vector<std::string>();
+    for (const auto &[id, worker] : workers_) {
+        if (worker.isUp) {
+            up.push_back(id);
+        }
+    }
+    return up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(random_)];
+}
+
 auto PoolWorld::step() -> void
 {
     now_.steadyMs += kStepMs;
     now_.wallMs += kStepMs;
     view_.readAt = isViewStale_ ? view_.readAt : now_.steadyMs;
     const auto roll = std::uniform_int_distribution(1, 1'000)(random_);
-    if (roll <= faults_.takeovers) {
+    auto       limit = faults_.takeovers;
+    if (roll <= limit) {
         takeOver();
-    } else if (roll <= faults_.takeovers + faults_.crashes) {
-        auto up = std::vector<std::string>();
-        for (const auto &[id, worker] : workers_) {
-            if (worker.isUp) {
-                up.push_back(id);
-            }
-        }
-        if (up.size() > 2) { // Enough workers have to stay up for the jobs to end.
-            crash(up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(random_)]);
+    } else if (roll <= (limit += faults_.crashes)) {
+        if (countUp() > 2) { // Enough workers have to stay up for the jobs to end.
+            crash(chooseUp());
         }
+    } else if (roll <= (limit += faults_.restarts)) {
+        restart(chooseUp());
+    } else if (roll <= limit + faults_.cuts) {
+        const auto id = chooseUp();
+        isolate(id);
+        const auto length = std::uniform_int_distribution<TimeMs>(500, 9'000)(random_);
+        runLater(length, [this, id] { reconnect(id); });
     }
     for (auto &[id, worker] : workers_) {
         for (std::size_t index = 0; index < worker.running.size();) {
@@ -185,6 +232,9 @@
                 ++index;
             }
         }
+        if (clockOf(worker) > worker.leaseUntil) {
+            forgetEnds(worker);
+        }
     }
     while (!events_.empty() && events_.begin()->first <= now_.steadyMs) {
         const auto action = std::move(events_.begin()->second);
@@ -232,6 +282,12 @@
     }
 }
 
+auto PoolWorld::extendLease(FakeWorker &worker, TimeMs leaseUntil) -> void
+{
+    const auto most = clockOf(worker) + settings_.maxLeaseMs;
+    worker.leaseUntil = std::max(worker.leaseUntil, std::min(leaseUntil, most));
+}
+
 auto PoolWorld::applyStart(FakeWorker &worker, const StartOrder &order) -> OrderReply
 {
     const auto clock = clockOf(worker);
@@ -250,7 +306,7 @@
     if (order.leaseUntilMs < clock) {
         return {CallOutcome::Refused, StartRefusal::Late, clock};
     }
-    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntilMs);
+    extendLease(worker, order.leaseUntilMs);
     if (checkStart) {
         if (auto what = checkStart(order); !what.empty()) {
             addViolation(what);
@@ -319,7 +375,7 @@
     }
     worker.token = order.token;
     if (order.leaseUntilMs) {
-        worker.leaseUntil = std::max(worker.leaseUntil, *order.leaseUntilMs);
+        extendLease(worker, *order.leaseUntilMs);
     }
     while (!worker.ended.empty() && worker.ended.front().number <= order.acknowledgedEnd) {
         worker.ended.pop_front();
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -19,10 +19,12 @@
     int failingRuns = 0; // Percent of runs that fail.
     int crashes = 0;     // Workers that crash per 1,000 steps.
     int takeovers = 0;   // Owners that are replaced per 1,000 steps.
+    int restarts = 0;    // Workers that restart under their id per 1,000 steps.
+    int cuts = 0;        // Workers that are isolated for some seconds per 1,000 steps.
 };
 
-// A worker that follows the platform's contract: it fences old owners, stops runs when its lease
-// expires, and keeps ended runs until they are acknowledged.
+// A worker that follows the platform's contract: it fences old owners, cuts leases to its maximum, stops
+// runs when its lease expires, and keeps ended runs until they are acknowledged.
 struct FakeWorker {
     struct Run {
         TaskRef      task;
@@ -40,6 +42,7 @@
     std::map<TaskRef, std::int64_t> voided; // Highest run that ended or was stopped.
     std::deque<EndedRow>            ended;
     std::int64_t                    lastEnd = 0; // Number of the last ended run.
+    std::int64_t forgottenEnd = 0;               // Ends up to here may be lost: see forgetEnds().
 };
 
 class PoolWorld
@@ -52,11 +55,14 @@
     auto cancel(const std::string &id) -> void;
     // Its entry is removed 4.5 s later; it doesn't come back.
     auto crash(const std::string &worker) -> void;
+    // A new incarnation under the same id: its clock starts anew, and it runs nothing.
+    auto restart(const std::string &worker, TimeMs downMs = 1'200) -> void;
     auto takeOver() -> void;      // Starts a new owner from the journal alone.
     auto startHandover() -> void; // A planned handover to a new owner.
     auto run(TimeMs ms) -> void;
     auto applyDirection(const PoolDirection &direction) -> void;
     auto isolate(const std::string &worker) -> void { workers_.at(worker).isIsolated = true; }
+    auto reconnect(const std::string &worker) -> void { workers_.at(worker).isIsolated = false; }
     auto setViewStale(bool isStale) -> void { isViewStale_ = isStale; }
     auto setStoreDown(bool isDown) -> void { isStoreDown_ = isDown; }
     auto changeView(const std::function<void(FleetView &)> &change) -> void;
@@ -77,6 +83,8 @@
 
 private:
     auto step() -> void;
+    auto countUp() const -> std::ptrdiff_t;
+    auto chooseUp() -> std::string; // A random worker that is up.
     auto drain() -> void;
     auto runLater(TimeMs delay, std::function<void()> action) -> void;
     auto chance(int percent) -> bool
@@ -87,7 +95,10 @@
     {
         return now_.steadyMs - worker.startedAt;
     }
+    auto forgetRuns(FakeWorker &worker) -> void; // As its process ends.
+    auto forgetEnds(FakeWorker &worker) -> void;
     auto finish(FakeWorker &worker, std::size_t index, RunEnd end) -> void;
+    auto extendLease(FakeWorker &worker, TimeMs leaseUntil) -> void;
     auto applyStart(FakeWorker &worker, const StartOrder &order) -> OrderReply;
     auto applyStop(FakeWorker &worker, const StopOrder &order) -> OrderReply;
     auto applyHold(FakeWorker &worker, const HoldOrder &order) -> HoldReply;
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -409,6 +409,126 @@
     expectNoViolations(world);
 }
 
+//-----------------------------------------------------------------------------
+// Workers that restart under their id
+//-----------------------------------------------------------------------------
+
+namespace {
+
+auto addLabel(PoolWorld &world, const std::string &worker) -> void
+{
+    world.changeView([&](FleetView &view) { view.workers.at(worker).labels.insert("labelled"); });
+}
+
+// A job of one long task that runs on labelled workers only.
+auto makeLabelledJob() -> JobSpec
+{
+    auto step = makeStep(1, 30'000);
+    step.requiredLabel = "labelled";
+    return makeJob("a", {step});
+}
+
+} // namespace
+
+// Guards against two runs of a task: the first start after a restart carried a lease on the clock of the
+// former incarnation, which the worker only cut to its maximum, while the owner counted a shorter one.
+Test(pool, a_worker_that_restarted_while_idle_and_is_cut_off_runs_its_tasks_alone)
+{
+    for (const auto cutAfterMs : {40, 100, 900, 3'000}) {
+        auto world = PoolWorld(1, {}, 2);
+        addLabel(world, "w0");
+        world.run(4'000);
+        world.restart("w0");
+        world.run(4'000);
+        world.submit(makeLabelledJob());
+        world.run(cutAfterMs);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+        addLabel(world, "w1");
+        world.isolate("w0");
+        world.run(14'000);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+        expectNoViolations(world);
+    }
+}
+
+// Guards against the same if the restart comes so soon after an answer that no hold precedes the start, and
+// if the owner changes before the lease has ended.
+Test(pool, a_worker_that_restarted_right_after_an_answer_runs_its_tasks_alone)
+{
+    for (const auto isHandedOver : {false, true}) {
+        auto world = PoolWorld(1, {}, 2);
+        addLabel(world, "w0");
+        world.run(4'000);
+        world.submit(makeJob("short", {makeStep(8, 200)}));
+        world.run(300);
+        world.restart("w0", 10);
+        world.run(20);
+        world.submit(makeLabelledJob());
+        world.run(40);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+        addLabel(world, "w1");
+        if (isHandedOver) {
+            world.run(30);
+            world.startHandover();
+            world.run(50);
+        }
+        world.isolate("w0");
+        world.run(14'000);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+        expectNoViolations(world);
+    }
+}
+
+// Guards against work that waits for the lease of a worker that never got it: a start that was sent to a
+// worker that had ended while it was idle could only be taken back by a stop, which nobody answered.
+Test(pool, nothing_is_started_on_an_idle_worker_that_doesnt_answer)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.run(3'000);
+    world.isolate("w0");
+    world.submit(makeJob("a", {makeStep(8, 300)}));
+    world.run(2'000);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+    world.reconnect("w0");
+    world.run(2'000);
+    cr_assert(world.workers().at("w0").voided.empty());
+    expectNoViolations(world);
+}
+
+// Guards against a task that is lost or runs twice if its owner ends while the start waits for the worker.
+Test(pool, an_owner_that_ends_before_an_idle_worker_has_answered_loses_no_task)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.run(3'000);
+    world.isolate("w0");
+    world.isolate("w1");
+    world.submit(makeJob("a", {makeStep(8, 300)}));
+    world.run(100);
+    world.takeOver();
+    world.reconnect("w0");
+    world.reconnect("w1");
+    world.run(3'000);
+    cr_assert(world.owner().jobState("a") == JobState::Completed);
+    cr_assert_eq(world.countStarts(firstTask("a")), 1);
+    expectNoViolations(world);
+}
+
+// Guards against work on a machine that is about to be called away: its pool would have to move it again.
+Test(pool, nothing_starts_on_a_worker_that_was_cordoned_before_its_start_order_left)
+{
+    auto world = PoolWorld(1, {}, 2);
+    addLabel(world, "w0");
+    world.run(3'000);
+    world.submit(makeLabelledJob());
+    world.applyDirection({1, {}, {"w0"}});
+    world.run(500);
+    cr_assert_eq(world.countStarts(firstTask("a")), 0);
+    world.applyDirection({2, {}, {}});
+    world.run(500);
+    cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+    expectNoViolations(world);
+}
+
 //-----------------------------------------------------------------------------
 // Seeded schedules
 //-----------------------------------------------------------------------------
@@ -480,3 +600,8 @@
 {
     playSeeds({.lostAppends = 5, .crashes = 1, .takeovers = 2});
 }
+
+Test(pool_schedules, workers_restart_under_their_ids_and_are_cut_off)
+{
+    playSeeds({.lostAppends = 5, .takeovers = 1, .restarts = 2, .cuts = 2});
+}
