--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -24,6 +24,7 @@
         const auto &queue = rules_.queues[index];
         queuesByPath_[queue.host + queue.pathPrefix] = index;
         queuesByName_[queue.name] = index;
+        activePools_.insert(queue.pool);
     }
     for (std::size_t index = 0; index < rules_.tenants.size(); ++index) {
         tenantsByName_[rules_.tenants[index].name] = index;
@@ -72,11 +73,21 @@
 
 auto Catalog::activePools() const -> std::vector<std::string>
 {
-    auto names = std::set<std::string>();
-    for (const auto &queue : rules_.queues) {
-        names.insert(queue.pool);
+    return {activePools_.begin(), activePools_.end()};
+}
+
+auto Catalog::isActive(std::string_view pool) const -> bool
+{
+    return activePools_.contains(pool);
+}
+
+auto Catalog::declaredPools() const -> std::set<std::string>
+{
+    auto names = std::set<std::string>(activePools_.begin(), activePools_.end());
+    for (const auto &pool : rules_.pools) {
+        names.insert(pool.name);
     }
-    return {names.begin(), names.end()};
+    return names;
 }
 
 } // namespace peridotwalk
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -70,6 +70,8 @@
     auto tenant(std::string_view name) const -> const TenantRule *;
     auto pool(std::string_view name) const -> const PoolDefinition *;
     auto activePools() const -> std::vector<std::string>; // Pools that have a queue, sorted.
+    auto isActive(std::string_view pool) const -> bool;   // The pool has a queue.
+    auto declaredPools() const -> std::set<std::string>;  // Also those that have no queue.
 
 private:
     CatalogRules                                    rules_;
@@ -78,6 +80,7 @@
     std::map<std::string, std::size_t, std::less<>> tenantsByKey_;
     std::map<std::string, std::size_t, std::less<>> tenantsByName_;
     std::map<std::string, std::size_t, std::less<>> poolsByName_;
+    std::set<std::string, std::less<>>              activePools_;
 };
 
 } // namespace peridotwalk
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -42,6 +42,7 @@
                      v.isDone, v.checkpoint, v.worker)
     PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
     PERIDOTWALK_WIRE(Handover, v.expiresInMs)
+    PERIDOTWALK_WIRE(QueueHome, v.earlierPools)
     PERIDOTWALK_WIRE(ProgressRow, v.state, v.doneOccurrences, v.done, v.tasks)
 
     } // namespace adaptor
@@ -52,10 +53,12 @@
 
 namespace {
 
-// First character of a record's key. The id of the job follows, or the pool's name for a handover.
+// First character of a record's key. The id of the job follows, the pool's name for a handover, or the
+// names of pool and queue for a queue's home.
 constexpr char kSpecPrefix = 'j';
 constexpr char kProgressPrefix = 'p';
 constexpr char kHandoverPrefix = 'h';
+constexpr char kQueueHomePrefix = 'q';
 
 auto isInitial(const JobTask &task) -> bool
 {
@@ -78,6 +81,11 @@
     }
 }
 
+auto queueHomePrefix(const std::string &pool) -> std::string
+{
+    return kQueueHomePrefix + pool + '/';
+}
+
 auto hasNoLiveRun(const Occurrence &occurrence) -> bool
 {
     for (const auto &tasks : occurrence.steps) {
@@ -212,4 +220,35 @@
     return std::nullopt;
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Queue homes
+//-----------------------------------------------------------------------------
+
+auto encodeQueueHome(const std::string &pool, const std::string &queue, const QueueHome &home)
+    -> KeyedRecord
+{
+    return {queueHomePrefix(pool) + queue, packWire(home)};
+}
+
+auto encodeQueueHomeRemoval(const std::string &pool, const std::string &queue) -> KeyedRecord
+{
+    return {queueHomePrefix(pool) + queue, ""};
+}
+
+auto findQueueHomes(const std::string &pool, const std::vector<KeyedRecord> &records) -> QueueHomes
+{
+    auto       homes = QueueHomes();
+    const auto prefix = queueHomePrefix(pool);
+    for (const auto &record : records) {
+        if (!record.key.starts_with(prefix) || record.value.empty()) {
+            continue;
+        }
+        auto home = unpackWire<QueueHome>("journal.queue_home", record.key, record.value);
+        if (home.ok()) {
+            homes[record.key.substr(prefix.size())] = *std::move(home);
+        }
+    }
+    return homes;
+}
+
 } // namespace peridotwalk
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -4,6 +4,7 @@
 // Index of this file
 // [SECTION] Records
 // [SECTION] Handover
+// [SECTION] Queue homes
 
 #pragma once
 
@@ -50,4 +51,23 @@
 auto findHandover(const std::string &pool, const std::vector<KeyedRecord> &records)
     -> std::optional<Handover>;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Queue homes
+//-----------------------------------------------------------------------------
+
+// Written by the pool that alone accepts new jobs of a queue. Operators' rules send a queue to a pool, but
+// nodes apply a new version at different times, so the pools settle between them which one it is.
+struct QueueHome {
+    std::set<std::string> earlierPools; // Other pools that may hold jobs of the queue.
+};
+using QueueHomes = std::map<std::string, QueueHome, std::less<>>; // By queue.
+
+auto encodeQueueHome(const std::string &pool, const std::string &queue, const QueueHome &home)
+    -> KeyedRecord;
+auto encodeQueueHomeRemoval(const std::string &pool, const std::string &queue) -> KeyedRecord;
+
+// Returns the queues that the pool is the home of. Records that can't be read count as missing: the pool
+// then settles the queue anew.
+auto findQueueHomes(const std::string &pool, const std::vector<KeyedRecord> &records) -> QueueHomes;
+
 } // namespace peridotwalk
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -162,49 +162,51 @@
     spec->tenant = tenant == nullptr ? std::string() : tenant->name;
     const auto version = directory_.view().catalog.version();
     const auto arrivedAt = bootMs();
-    router_.route({PoolVerb::Submit, queue.pool, id, queue.name, *std::move(spec)},
-                  deadlineOf(call),
-                  [this, exchange = request.id, id, version, arrivedAt](const PoolAnswer &answer) {
-                      logEvent(LogLevel::Info, "job.submitted",
-                               {{"job", id},
-                                {"outcome", static_cast<int>(answer.status)},
-                                {"reason", answer.reason},
-                                {"version", version},
-                                {"took_ms", bootMs() - arrivedAt}});
-                      switch (answer.status) {
-                      case PoolStatus::Ok:
-                          this->answer(exchange, kOk, "{}");
-                          break;
-                      case PoolStatus::Unknown:
-                          refuse(exchange, kGatewayTimeout, answer.reason);
-                          break;
-                      default:
-                          refuse(exchange, kUnavailable, answer.reason,
-                                 std::max(answer.retryAfterMs, settings_.retryAfterMs));
-                      }
-                  });
+    router_.route(
+        {PoolVerb::Submit, queue.pool, id, queue.name, *std::move(spec), PoolScope::All, version},
+        deadlineOf(call),
+        [this, exchange = request.id, id, version, arrivedAt](const PoolAnswer &answer) {
+            logEvent(LogLevel::Info, "job.submitted",
+                     {{"job", id},
+                      {"outcome", static_cast<int>(answer.status)},
+                      {"reason", answer.reason},
+                      {"version", version},
+                      {"took_ms", bootMs() - arrivedAt}});
+            switch (answer.status) {
+            case PoolStatus::Ok:
+                this->answer(exchange, kOk, "{}");
+                break;
+            case PoolStatus::Unknown:
+                refuse(exchange, kGatewayTimeout, answer.reason);
+                break;
+            default:
+                refuse(exchange, kUnavailable, answer.reason,
+                       std::max(answer.retryAfterMs, settings_.retryAfterMs));
+            }
+        });
 }
 
 auto JobCallerTask::routeSimple(const HttpRequest &request, const JobRequest &call,
                                 const QueueRule &queue, PoolVerb verb, const std::string &id)
     -> void
 {
-    router_.route({verb, queue.pool, id, queue.name, {}}, deadlineOf(call),
-                  [this, exchange = request.id, verb](const PoolAnswer &answer) {
-                      if (answer.status == PoolStatus::Missing) {
-                          refuse(exchange, kGone, "there is no such job");
-                      } else if (answer.status != PoolStatus::Ok) {
-                          const auto isUnknown = answer.status == PoolStatus::Unknown;
-                          refuse(exchange, isUnknown ? kGatewayTimeout : kUnavailable,
-                                 answer.reason, settings_.retryAfterMs);
-                      } else if (verb == PoolVerb::Query) {
-                          this->answer(exchange, kOk, writeState(answer.state));
-                      } else if (verb == PoolVerb::CountPending) {
-                          this->answer(exchange, kOk, writePending(answer.count));
-                      } else {
-                          this->answer(exchange, kOk, "{}");
-                      }
-                  });
+    router_.route(
+        {verb, queue.pool, id, queue.name, {}, PoolScope::All, directory_.view().catalog.version()},
+        deadlineOf(call), [this, exchange = request.id, verb](const PoolAnswer &answer) {
+            if (answer.status == PoolStatus::Missing) {
+                refuse(exchange, kGone, "there is no such job");
+            } else if (answer.status != PoolStatus::Ok) {
+                const auto isUnknown = answer.status == PoolStatus::Unknown;
+                refuse(exchange, isUnknown ? kGatewayTimeout : kUnavailable, answer.reason,
+                       settings_.retryAfterMs);
+            } else if (verb == PoolVerb::Query) {
+                this->answer(exchange, kOk, writeState(answer.state));
+            } else if (verb == PoolVerb::CountPending) {
+                this->answer(exchange, kOk, writePending(answer.count));
+            } else {
+                this->answer(exchange, kOk, "{}");
+            }
+        });
 }
 
 } // namespace peridotwalk
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -245,7 +245,8 @@
 auto ReporterTask::report() -> void
 {
     for (auto &[name, pool] : pools_.pools()) {
-        if (pool->isReady() && !pool->isFenced() && !pendingReports_.contains(name)) {
+        if (pool->isReady() && !pool->isDormant() && !pool->isFenced()
+            && !pendingReports_.contains(name)) {
             reportPool(name, *pool);
         }
     }
--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -116,6 +116,7 @@
         } else if (const auto *rules = std::get_if<CatalogChanged>(&change)) {
             if (rules->rules.version > view_.catalog.version()) {
                 view_.catalog = Catalog(rules->rules);
+                view_.pools.merge(view_.catalog.declaredPools());
                 logEvent(LogLevel::Info, "catalog.changed",
                          {{"version", view_.catalog.version()},
                           {"queues", rules->rules.queues.size()},
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -3,6 +3,7 @@
 #include "jobs/jobs_wire.h"
 
 MSGPACK_ADD_ENUM(peridotwalk::PoolVerb)
+MSGPACK_ADD_ENUM(peridotwalk::PoolScope)
 MSGPACK_ADD_ENUM(peridotwalk::PoolStatus)
 MSGPACK_ADD_ENUM(peridotwalk::JobState)
 
@@ -11,8 +12,9 @@
 {
     namespace adaptor {
 
-    PERIDOTWALK_WIRE(PoolCall, v.verb, v.pool, v.job, v.queue, v.spec)
-    PERIDOTWALK_WIRE(PoolAnswer, v.status, v.state, v.count, v.reason, v.retryAfterMs)
+    PERIDOTWALK_WIRE(PoolCall, v.verb, v.pool, v.job, v.queue, v.spec, v.scope, v.version)
+    PERIDOTWALK_WIRE(PoolAnswer, v.status, v.state, v.count, v.reason, v.retryAfterMs,
+                     v.earlierPools)
     PERIDOTWALK_WIRE(TenantReport, v.tenant, v.allowance, v.used, v.wanted)
     PERIDOTWALK_WIRE(WorkerLoad, v.id, v.runs, v.unboundedRuns, v.cpu, v.unboundedCpu, v.isCordoned,
                      v.isUsable, v.expiredCpu)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,6 +63,9 @@
           metricsServer_(loop_, metrics_, directory_, ownership_, pools_)
     {
         store_.setPeers([this] { return ownership_.peers(); });
+        pools_.setCallPool([this](const PoolCall &call, TimeMs deadline, PoolAnswerSlot slot) {
+            router_.route(call, deadline, std::move(slot));
+        });
     }
 
     auto run() -> int
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -33,15 +33,26 @@
 // [SECTION] Messages between nodes
 //-----------------------------------------------------------------------------
 
-enum class PoolVerb { Submit, Cancel, Query, CountPending };
+// ReleaseQueue: from another pool that adopts the queue. Ok: this pool accepts no more new jobs of it.
+enum class PoolVerb { Submit, Cancel, Query, CountPending, ReleaseQueue };
+
+// Which jobs a call is about.
+enum class PoolScope {
+    All,  // Of the pool, and of earlier homes of the queue.
+    Held, // Of the pool only. A submission finds a job, and adds none.
+    New,  // As All. No earlier home of the queue has the job.
+};
 
 // A request to the owner of a pool.
 struct PoolCall {
-    PoolVerb    verb = PoolVerb::Query;
-    std::string pool;
-    std::string job;   // Id of the job. Empty for CountPending.
-    std::string queue; // Name of the queue. Only CountPending needs it.
-    JobSpec     spec;  // The job to submit. Empty for other verbs.
+    PoolVerb     verb = PoolVerb::Query;
+    std::string  pool;
+    std::string  job;   // Id of the job. Empty for CountPending and ReleaseQueue.
+    std::string  queue; // Name of the queue that the call came on.
+    JobSpec      spec;  // The job to submit. Empty for other verbs.
+    PoolScope    scope = PoolScope::All;
+    std::int64_t version =
+        0; // Of the rules by which the pool was chosen. ReleaseQueue: the caller.
 };
 
 enum class PoolStatus {
@@ -50,14 +61,17 @@
     Refused,  // The call had no effect and won't have one later.
     NotOwner, // The call had no effect: another node owns the pool, or none does yet.
     Unknown,  // The call may have had an effect.
+    Elsewhere // The call had no effect: earlier homes of the queue have to be asked.
 };
 
 struct PoolAnswer {
-    PoolStatus   status = PoolStatus::Unknown;
-    JobState     state = JobState::Queued; // The job's state. Only for Query.
-    std::int64_t count = 0;                // Number of pending jobs. Only for CountPending.
-    std::string  reason = {};              // Why it failed. Empty: it didn't.
-    TimeMs       retryAfterMs = 0;         // 0: no advice when to retry.
+    PoolStatus               status = PoolStatus::Unknown;
+    JobState                 state = JobState::Queued; // The job's state. Only for Query.
+    // Number of pending jobs for CountPending. For ReleaseQueue, 1 if the pool may hold jobs of the queue.
+    std::int64_t             count = 0;
+    std::string              reason = {};       // Why it failed. Empty: it didn't.
+    TimeMs                   retryAfterMs = 0;  // 0: no advice when to retry.
+    std::vector<std::string> earlierPools = {}; // For Elsewhere: which to ask.
 };
 using PoolAnswerSlot = std::function<void(const PoolAnswer &)>;
 
@@ -194,9 +208,12 @@
     JournalStore  &journal;
     WorkerService &workers;
     NodeMetrics   *metrics = nullptr; // Null: takeovers aren't measured.
+    // Calls the owner of another pool, as RouterTask::route(). Empty: there is no other pool.
+    std::function<void(const PoolCall &, TimeMs deadline, PoolAnswerSlot)> callPool = {};
 };
 
-// Takes over one pool, and connects its scheduler to the store and the workers.
+// Takes over one pool, and connects its scheduler to the store and the workers. Settles with the other
+// pools which one is the home of a queue, before it says that it has no such job or accepts a new one.
 class PoolTask
 {
 public:
@@ -215,11 +232,26 @@
 
     auto isHandoverDone() const -> bool { return !scheduler_ || scheduler_->isHandoverDone(); }
     auto isReady() const -> bool { return scheduler_ != nullptr; }
+    auto isDormant() const -> bool; // No queue leads to the pool, and nothing is left to do.
     auto isFenced() const -> bool { return isFenced_ || (scheduler_ && scheduler_->isFenced()); }
     auto scheduler() -> PoolScheduler * { return scheduler_.get(); }
     auto identity() const -> const PoolIdentity & { return identity_; }
 
 private:
+    // The adoption of a queue, while other pools are asked to release it.
+    struct Adoption {
+        std::vector<std::pair<PoolCall, PoolAnswerSlot>> waiting;
+        QueueHome                                        home;
+        std::size_t                                      unanswered = 0;
+        std::string                                      refusal; // Empty: none so far.
+    };
+
+    auto adopt(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto onReleased(const std::string &queue, const std::string &pool, const PoolAnswer &answer)
+        -> void;
+    auto finishAdoption(const std::string &queue) -> void;
+    auto release(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto addPending(PoolAnswerSlot slot) -> std::int64_t; // Returns its handle.
     auto fence() -> void;
     auto readJournal() -> void;
     auto onJournal(const std::vector<KeyedRecord> &records) -> void;
@@ -246,6 +278,7 @@
     std::unique_ptr<PoolScheduler>         scheduler_;         // Null: the journal isn't read yet.
     std::int64_t                           lastHandle_ = 0;    // Last one given to a call.
     std::map<std::int64_t, PoolAnswerSlot> pendingCalls_; // Calls without an answer, by handle.
+    std::map<std::string, Adoption>        adoptions_;    // By queue.
     bool                                   isRunning_ = false; // run() is active.
     std::shared_ptr<bool>                  isAlive_ =
         std::make_shared<bool>(true); // False: destroyed, so late answers are dropped.
@@ -259,6 +292,7 @@
               DirectoryTask &directory, OwnershipTask &ownership);
 
     auto handle(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto setCallPool(decltype(PoolServices::callPool) callPool) -> void;
     auto pools() -> std::map<std::string, std::unique_ptr<PoolTask>> & { return pools_; }
 
     // Hands over all pools, or those that this node no longer owns. Calls `done` when that is complete,
@@ -278,12 +312,14 @@
     OwnershipTask                                   &ownership_;
     std::map<std::string, std::unique_ptr<PoolTask>> pools_;
     std::set<std::string>                            leaving_; // Pools being handed over.
+    std::set<std::string>
+        asked_; // Pools that another node asked for and the rules here don't name.
     // Last token by pool. A token is used by one scheduler only: a second one would number its appends
     // from 1 again, and the store would ignore them as repeats.
-    std::map<std::string, std::int64_t>              usedTokens_;
-    TimeMs                                           handoverTimeoutAt_ = 0;
-    std::function<void()>  onHandoverDone_; // Null: no handover is in progress.
-    std::unique_ptr<Timer> timer_;
+    std::map<std::string, std::int64_t> usedTokens_;
+    TimeMs                              handoverTimeoutAt_ = 0;
+    std::function<void()>               onHandoverDone_; // Null: no handover is in progress.
+    std::unique_ptr<Timer>              timer_;
 };
 
 //-----------------------------------------------------------------------------
@@ -324,6 +360,18 @@
         bool           isUnknown = false; // An attempt may have had an effect.
         int            attempts = 0;
     };
+    // The same call to the earlier homes of its queue, one after another.
+    struct EarlierHomes {
+        std::vector<std::string> pools;
+        std::size_t              next = 0;
+        std::int64_t             count = 0; // Sum, for CountPending.
+    };
+    using EarlierHomesPtr = std::shared_ptr<EarlierHomes>;
+
+    auto askEarlierHomes(const std::shared_ptr<RoutedCall> &routed, const EarlierHomesPtr &homes)
+        -> void;
+    auto onEarlierHome(const std::shared_ptr<RoutedCall> &routed, const EarlierHomesPtr &homes,
+                       const PoolAnswer &answer) -> void;
 
     auto attempt(const std::shared_ptr<RoutedCall> &routed) -> void;
     auto onAnswer(const std::shared_ptr<RoutedCall> &routed, const PoolAnswer &answer) -> void;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -1,5 +1,7 @@
 #include "node/node_internal.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 
 namespace peridotwalk {
@@ -8,6 +10,9 @@
 
 constexpr TimeMs kTakeoverRetryMs = 100;
 constexpr TimeMs kHandoverTimeoutMs = 400; // A store that needs longer for a record is failing.
+// Time for other pools to release a queue. Shorter than a call to an owner, so that callers that wait for
+// it are refused rather than left without an answer.
+constexpr TimeMs kReleaseTimeoutMs = 600;
 
 auto toStatus(JobVerdict verdict) -> PoolStatus
 {
@@ -41,6 +46,11 @@
 PoolTask::~PoolTask()
 {
     *isAlive_ = false;
+    for (const auto &[queue, adoption] : adoptions_) {
+        for (const auto &[call, slot] : adoption.waiting) {
+            slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool moved to another node", 0});
+        }
+    }
     for (const auto &[handle, slot] : pendingCalls_) {
         slot({PoolStatus::Unknown, JobState::Queued, 0, "the pool moved to another node", 0});
     }
@@ -110,7 +120,8 @@
     scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
     scheduler_->setTerm(termUntil_);
     scheduler_->restore(readMoment(), std::move(restored.jobs),
-                        findHandover(identity_.pool, records));
+                        findHandover(identity_.pool, records),
+                        findQueueHomes(identity_.pool, records));
     run();
 }
 
@@ -153,6 +164,34 @@
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool is being taken over", 0});
         return;
     }
+    if (call.verb == PoolVerb::ReleaseQueue) {
+        release(call, std::move(slot));
+        return;
+    }
+    const auto isHeld = !call.job.empty() && scheduler_->holdsJob(call.job);
+    if (call.scope == PoolScope::Held) {
+        if (bootMs() >= termUntil_) {
+            slot({PoolStatus::NotOwner, JobState::Queued, 0, "the owner is out of its term", 0});
+            return;
+        }
+        if (call.verb == PoolVerb::Submit && !isHeld) {
+            slot({PoolStatus::Missing});
+            return;
+        }
+    } else if (!isHeld) {
+        const auto *home = scheduler_->findHome(call.queue);
+        if (home == nullptr) {
+            adopt(call, std::move(slot));
+            return;
+        }
+        if (!home->earlierPools.empty() && call.scope == PoolScope::All) {
+            auto answer = PoolAnswer{PoolStatus::Elsewhere};
+            answer.count = scheduler_->countPending(call.queue);
+            answer.earlierPools = {home->earlierPools.begin(), home->earlierPools.end()};
+            slot(answer);
+            return;
+        }
+    }
     if (call.verb == PoolVerb::Query) {
         const auto state = scheduler_->jobState(call.job);
         slot(state ? PoolAnswer{PoolStatus::Ok, *state} : PoolAnswer{PoolStatus::Missing});
@@ -162,8 +201,7 @@
         slot({PoolStatus::Ok, JobState::Queued, scheduler_->countPending(call.queue)});
         return;
     }
-    const auto handle = ++lastHandle_;
-    pendingCalls_[handle] = std::move(slot);
+    const auto handle = addPending(std::move(slot));
     if (call.verb == PoolVerb::Submit) {
         scheduler_->submit(readMoment(), handle, call.spec);
     } else {
@@ -172,6 +210,127 @@
     run();
 }
 
+auto PoolTask::addPending(PoolAnswerSlot slot) -> std::int64_t
+{
+    pendingCalls_[++lastHandle_] = std::move(slot);
+    return lastHandle_;
+}
+
+// Asks all other pools to release the queue, and records this pool as its home once they have. Only then no
+// other pool can accept its jobs any more, and it is known which ones hold some.
+auto PoolTask::adopt(const PoolCall &call, PoolAnswerSlot slot) -> void
+{
+    const auto *rule = view_.catalog.queue(call.queue);
+    if (rule == nullptr || rule->pool != identity_.pool) {
+        const auto isBehind =
+            call.version > view_.catalog.version(); // Then the caller tries again.
+        slot({isBehind ? PoolStatus::NotOwner : PoolStatus::Refused, JobState::Queued, 0,
+              "the queue leads to another pool", settings_.retryAfterMs});
+        return;
+    }
+    const auto [found, isNew] = adoptions_.try_emplace(call.queue);
+    found->second.waiting.emplace_back(call, std::move(slot));
+    if (!isNew) {
+        return;
+    }
+    auto others = view_.pools;
+    others.erase(identity_.pool);
+    found->second.unanswered = others.size();
+    for (const auto &pool : others) {
+        services_.callPool(
+            {PoolVerb::ReleaseQueue,
+             pool,
+             "",
+             call.queue,
+             {},
+             PoolScope::All,
+             view_.catalog.version()},
+            bootMs() + kReleaseTimeoutMs,
+            [this, alive = isAlive_, queue = call.queue, pool](const PoolAnswer &answer) {
+                if (*alive) {
+                    onReleased(queue, pool, answer);
+                }
+            });
+    }
+    if (others.empty()) {
+        finishAdoption(call.queue);
+    }
+}
+
+auto PoolTask::onReleased(const std::string &queue, const std::string &pool,
+                          const PoolAnswer &answer) -> void
+{
+    auto &adoption = adoptions_.at(queue);
+    if (answer.status != PoolStatus::Ok) {
+        adoption.refusal = "the pool " + pool + " hasn't released the queue: " + answer.reason;
+    } else if (answer.count > 0) {
+        adoption.home.earlierPools.insert(pool);
+    }
+    if (--adoption.unanswered == 0) {
+        finishAdoption(queue);
+    }
+}
+
+auto PoolTask::finishAdoption(const std::string &queue) -> void
+{
+    auto adoption = std::move(adoptions_.extract(queue).mapped());
+    logEvent(LogLevel::Info, "queue.adopted",
+             {{"queue", queue},
+              {"pool", identity_.pool},
+              {"token", identity_.token},
+              {"earlier", fmt::format("{}", fmt::join(adoption.home.earlierPools, " "))},
+              {"refusal", adoption.refusal}});
+    const auto isOver = isFenced() || isLeaving_;
+    if (isOver || !adoption.refusal.empty()) {
+        for (const auto &[call, slot] : adoption.waiting) {
+            slot({isOver ? PoolStatus::NotOwner : PoolStatus::Refused, JobState::Queued, 0,
+                  isOver ? "the pool is being taken over" : adoption.refusal,
+                  settings_.retryAfterMs});
+        }
+        return;
+    }
+    const auto request = addPending(
+        [this, alive = isAlive_, waiting = std::move(adoption.waiting)](const PoolAnswer &answer) {
+            for (const auto &[call, slot] : waiting) {
+                if (*alive && answer.status == PoolStatus::Ok) {
+                    this->handle(call, slot);
+                } else {
+                    slot({PoolStatus::NotOwner, JobState::Queued, 0, answer.reason, 0});
+                }
+            }
+        });
+    scheduler_->adoptQueue(request, queue, std::move(adoption.home));
+    run();
+}
+
+// Answered once the journal shows that this is still the owner: an earlier one can't know which jobs the
+// pool holds.
+auto PoolTask::release(const PoolCall &call, PoolAnswerSlot slot) -> void
+{
+    const auto *rule = view_.catalog.queue(call.queue);
+    if (rule != nullptr && rule->pool == identity_.pool && view_.catalog.version() > call.version) {
+        slot({PoolStatus::Refused, JobState::Queued, 0, "newer rules send the queue here",
+              settings_.retryAfterMs});
+        return;
+    }
+    if (const auto adoption = adoptions_.find(call.queue); adoption != adoptions_.end()) {
+        adoption->second.refusal = "another pool adopts the queue";
+    }
+    const auto mayHold = scheduler_->holdsJobsOf(call.queue);
+    const auto handle = addPending([slot = std::move(slot), mayHold](PoolAnswer answer) {
+        answer.count = mayHold ? 1 : 0;
+        slot(answer);
+    });
+    scheduler_->releaseQueue(handle, call.queue);
+    run();
+}
+
+auto PoolTask::isDormant() const -> bool
+{
+    return scheduler_ && scheduler_->countJobs() == 0 && scheduler_->countRuns() == 0
+        && !view_.catalog.isActive(identity_.pool);
+}
+
 // An answer may arrive while actions are performed. It must not start a nested round.
 auto PoolTask::run() -> void
 {
@@ -189,6 +348,10 @@
     if (!scheduler_) {
         return;
     }
+    if (isDormant()) {
+        run(); // Appends what is due. Its workers aren't asked.
+        return;
+    }
     isRunning_ = true;
     scheduler_->tick(readMoment());
     carryOut();
@@ -359,7 +522,9 @@
     if (!directory_.hasWorkers()) {
         return;
     }
-    for (const auto &pool : directory_.view().catalog.activePools()) {
+    auto names = directory_.view().pools;
+    names.insert(asked_.begin(), asked_.end());
+    for (const auto &pool : names) {
         const auto &tokens = ownership_.ownership().tokens();
         const auto  partition = partitionOf(pool, settings_.ownership.partitions);
         const auto  token = tokens.find(partition);
@@ -375,17 +540,27 @@
 
 auto PoolsTask::tick() -> void
 {
-    directory_.setOwner(!pools_.empty());
+    directory_.setOwner(
+        std::ranges::any_of(pools_, [](const auto &item) { return !item.second->isDormant(); }));
     checkHandover();
     for (auto &[name, pool] : pools_) {
         pool->tick();
     }
 }
 
+auto PoolsTask::setCallPool(decltype(PoolServices::callPool) callPool) -> void
+{
+    services_.callPool = std::move(callPool);
+}
+
 auto PoolsTask::handle(const PoolCall &call, PoolAnswerSlot slot) -> void
 {
     const auto found = pools_.find(call.pool);
     if (found == pools_.end()) {
+        // A pool without a queue isn't taken over before another one asks for its jobs.
+        if (asked_.insert(call.pool).second) {
+            refresh();
+        }
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "this node doesn't own the pool", 0});
         return;
     }
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -113,6 +113,12 @@
     -> void
 {
     routed->isUnknown = routed->isUnknown || answer.status == PoolStatus::Unknown;
+    if (answer.status == PoolStatus::Elsewhere) {
+        askEarlierHomes(
+            routed,
+            std::make_shared<EarlierHomes>(EarlierHomes{answer.earlierPools, 0, answer.count}));
+        return;
+    }
     const auto isFinal = answer.status == PoolStatus::Ok || answer.status == PoolStatus::Missing;
     const auto isRefused = answer.status == PoolStatus::Refused;
     if (isFinal || (isRefused && !routed->isUnknown)) {
@@ -131,6 +137,40 @@
     loop_.post([this, routed] { attempt(routed); }, settings_.routeRetryMs);
 }
 
+auto RouterTask::askEarlierHomes(const std::shared_ptr<RoutedCall> &routed,
+                                 const EarlierHomesPtr             &homes) -> void
+{
+    if (homes->next < homes->pools.size()) {
+        auto call = routed->call;
+        call.pool = homes->pools[homes->next++];
+        call.scope = PoolScope::Held;
+        route(call, routed->deadline, [this, routed, homes](const PoolAnswer &answer) {
+            onEarlierHome(routed, homes, answer);
+        });
+    } else if (routed->call.verb == PoolVerb::Submit) {
+        routed->call.scope = PoolScope::New;
+        attempt(routed);
+    } else if (routed->call.verb == PoolVerb::CountPending) {
+        routed->slot({PoolStatus::Ok, JobState::Queued, homes->count});
+    } else {
+        routed->slot({PoolStatus::Missing});
+    }
+}
+
+// A job is held by one pool. Pending jobs may be held by all of them.
+auto RouterTask::onEarlierHome(const std::shared_ptr<RoutedCall> &routed,
+                               const EarlierHomesPtr &homes, const PoolAnswer &answer) -> void
+{
+    const auto isCounted =
+        answer.status == PoolStatus::Ok && routed->call.verb == PoolVerb::CountPending;
+    if (isCounted || answer.status == PoolStatus::Missing) {
+        homes->count += answer.count;
+        askEarlierHomes(routed, homes);
+    } else {
+        routed->slot(answer);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peer task
 //-----------------------------------------------------------------------------
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -27,8 +27,8 @@
     }
     const auto isRemovalDue = previousHandover_.has_value() && !isHandoverRemoved_;
     const auto isHandoverDue = handover_ == HandoverStage::Due;
-    if (changed_.empty() && submitted_.empty() && effects_.empty() && !isRemovalDue
-        && !isHandoverDue) {
+    if (changed_.empty() && submitted_.empty() && changedHomes_.empty() && effects_.empty()
+        && !isRemovalDue && !isHandoverDue) {
         return;
     }
     if (now.steadyMs - flushedAt_ < settings_.flushIntervalMs && !isHandoverDue) {
@@ -45,6 +45,10 @@
         batch.records.push_back(encodeProgress(jobs_.at(id).job));
         batch.states[id] = jobs_.at(id).job.state;
     }
+    for (const auto &queue : changedHomes_) {
+        batch.records.push_back(recordHome(queue));
+    }
+    batch.homes = std::exchange(changedHomes_, {});
     if (isHandoverDue) {
         handover_ = HandoverStage::Writing;
         batch.records.push_back(encodeHandover(identity_.pool, makeHandover(now)));
@@ -89,6 +93,11 @@
         entry.isRecorded = true;
         entry.recorded = state;
     }
+    for (const auto &queue : batch.homes) {
+        if (const auto home = homes_.find(queue); home != homes_.end()) {
+            home->second.isRecorded = !changedHomes_.contains(queue);
+        }
+    }
     for (const auto &effect : batch.effects) {
         if (const auto *answer = std::get_if<AnswerEffect>(&effect)) {
             actions_.push_back(AnswerCaller{answer->handle, answer->verdict});
@@ -106,6 +115,13 @@
     needsSchedule_ = true;
 }
 
+auto PoolScheduler::State::recordHome(const std::string &queue) const -> KeyedRecord
+{
+    const auto home = homes_.find(queue);
+    return home == homes_.end() ? encodeQueueHomeRemoval(identity_.pool, queue)
+                                : encodeQueueHome(identity_.pool, queue, home->second.home);
+}
+
 // A worker that answers may run until its lease expires; the lease of a silent one isn't extended any
 // more.
 auto PoolScheduler::State::makeHandover(Moment now) const -> Handover
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -32,9 +32,13 @@
 
 PoolScheduler::~PoolScheduler() = default;
 
-auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous) -> void
+auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous,
+                            QueueHomes homes) -> void
 {
     state_->previousHandover_ = std::move(previous);
+    for (auto &[queue, home] : homes) {
+        state_->homes_[queue] = {std::move(home), true};
+    }
     state_->restore(now, std::move(jobs));
 }
 
@@ -60,6 +64,21 @@
     state_->cancel(now, handle, id);
 }
 
+auto PoolScheduler::adoptQueue(std::int64_t handle, const std::string &queue, QueueHome home)
+    -> void
+{
+    state_->homes_[queue] = {std::move(home), false};
+    state_->changedHomes_.insert(queue);
+    state_->afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
+}
+
+auto PoolScheduler::releaseQueue(std::int64_t handle, const std::string &queue) -> void
+{
+    state_->homes_.erase(queue);
+    state_->changedHomes_.insert(queue);
+    state_->afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
+}
+
 auto PoolScheduler::onViewChanged(Moment now) -> void
 {
     state_->onViewChanged(now);
@@ -159,6 +178,30 @@
     });
 }
 
+auto PoolScheduler::holdsJob(std::string_view id) const -> bool
+{
+    return state_->jobs_.contains(id);
+}
+
+auto PoolScheduler::holdsJobsOf(std::string_view queue) const -> bool
+{
+    return std::ranges::any_of(state_->jobs_, [&](const auto &item) {
+        return item.second.job.spec.queue == queue || state_->queueOf(item.second) == nullptr;
+    });
+}
+
+auto PoolScheduler::isHomeOf(std::string_view queue) const -> bool
+{
+    return state_->homes_.contains(queue);
+}
+
+auto PoolScheduler::findHome(std::string_view queue) const -> const QueueHome *
+{
+    const auto found = state_->homes_.find(queue);
+    return found == state_->homes_.end() || !found->second.isRecorded ? nullptr
+                                                                      : &found->second.home;
+}
+
 auto PoolScheduler::isFenced() const -> bool
 {
     return state_->isFenced_;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -73,6 +73,7 @@
 // a process.
 struct FleetView {
     Catalog                             catalog;
+    std::set<std::string>               pools; // Of any version since this node started.
     std::set<std::string>               evacuatedZones;
     std::map<std::string, WaveOrder>    waves;      // By name.
     std::map<std::string, WorkerReport> workers;    // Listed workers, by id.
@@ -100,7 +101,7 @@
     std::vector<KeyedRecord> records;
 };
 struct AnswerCaller {
-    std::int64_t handle = 0; // As passed to submit() or cancel().
+    std::int64_t handle = 0; // As passed to submit(), cancel(), adoptQueue() or releaseQueue().
     JobVerdict   verdict = JobVerdict::Refused;
     std::string  reason = {};      // Why the job was refused. Empty otherwise.
     TimeMs       retryAfterMs = 0; // When the caller may submit a refused job again.
@@ -153,13 +154,16 @@
 
     // Commands.
     // `previous`: the handover record of the previous owner. Nothing if it wrote none.
-    auto restore(Moment now, JobTable jobs, std::optional<Handover> previous = std::nullopt)
-        -> void;
+    auto restore(Moment now, JobTable jobs, std::optional<Handover> previous = std::nullopt,
+                 QueueHomes homes = {}) -> void;
     auto beginHandover(Moment now) -> void; // Stops deciding and appends the handover record.
     auto setTerm(TimeMs untilMs) -> void;   // End of ownership, steady clock. Nothing starts later.
-    // Both are answered by an AnswerCaller action with the same handle.
+    // submit() to releaseQueue() are answered by an AnswerCaller action with the same handle.
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
+    // Makes this pool the home of a queue, once all other pools have released it, and ends that.
+    auto adoptQueue(std::int64_t handle, const std::string &queue, QueueHome home) -> void;
+    auto releaseQueue(std::int64_t handle, const std::string &queue) -> void;
     auto onViewChanged(Moment now) -> void; // After each change of the fleet view.
     // onAppended() to onHoldReply(): results of actions.
     auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
@@ -176,6 +180,12 @@
     auto identity() const -> const PoolIdentity &;
     auto jobState(std::string_view id) const -> std::optional<JobState>; // In the journal.
     auto countPending(std::string_view queue) const -> std::int64_t;     // Jobs without a run yet.
+    auto holdsJob(std::string_view id) const -> bool; // Also one that isn't in the journal yet.
+    // Whether it holds jobs of the queue, or of queues that operators have renamed or removed.
+    auto holdsJobsOf(std::string_view queue) const -> bool;
+    auto isHomeOf(std::string_view queue) const -> bool; // Also if that isn't in the journal yet.
+    // The queue's home as the journal has it, or nullptr.
+    auto findHome(std::string_view queue) const -> const QueueHome *;
     auto isFenced() const -> bool;         // A newer owner is active; this one does nothing.
     auto report() const -> PoolReport;     // For the coordinator.
     auto countJobs() const -> std::size_t; // Jobs that aren't over.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -136,6 +136,12 @@
 };
 using Effect = std::variant<AnswerEffect, StartEffect, AckEffect>;
 
+// A queue that this pool is the home of.
+struct HomeEntry {
+    QueueHome home;
+    bool      isRecorded = false; // The journal has it.
+};
+
 // Progress of the handover record of this owner.
 enum class HandoverStage { None, Due, Writing, Done };
 
@@ -143,6 +149,7 @@
 struct Batch {
     std::vector<KeyedRecord>        records;
     std::map<std::string, JobState> states; // Job states in the batch, by job.
+    std::set<std::string>           homes;  // Queues whose homes are in the batch.
     std::vector<Effect>             effects;
     TimeMs                          startedAt = 0; // When the batch was made.
     TimeMs                          retryAt = 0;   // After a failed append: when it is repeated.
@@ -179,6 +186,7 @@
     auto flush(Moment now) -> void;
     auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
     auto isStalled(Moment now) const -> bool;
+    auto recordHome(const std::string &queue) const -> KeyedRecord;
     auto makeHandover(Moment now) const -> Handover;
 
     // Jobs (jobs.cpp)
@@ -256,47 +264,49 @@
     auto logRunEvent(std::string_view event, const TaskRef &task, std::int64_t run,
                      const std::string &worker, std::string detail) -> void;
 
-    PoolIdentity                                 identity_;
-    PoolSettings                                 settings_;
-    const FleetView                             &view_;
-    TimeMs                                       termUntil_ = 0;  // See setTerm().
-    TimeMs                                       ownedSince_ = 0; // Time of restore().
-    bool                                         isFenced_ = false;
-    bool                                         needsSchedule_ = false;
-    TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
-    std::int64_t                                 placementRounds_ = 0;
-    std::vector<ResourceSet>                     unplaceable_;      // Needs that fit nowhere now.
-    CapacityIndex                                capacityIndex_;    // Empty between rounds.
-    int                                          explanations_ = 0; // Logged in this round.
-    std::int64_t                                 placed_ = 0;       // Tasks placed in this round.
-    std::int64_t                                 liveRuns_ = 0;     // On all workers.
-    TimeMs                                       tickedAt_ = 0;     // Last tick. 0: none yet.
-    bool                                         isOverloaded_ = false; // Ticks come late.
-    std::set<std::string>                        workersToTick_;        // Ticked by advance().
+    PoolIdentity                                  identity_;
+    PoolSettings                                  settings_;
+    const FleetView                              &view_;
+    TimeMs                                        termUntil_ = 0;  // See setTerm().
+    TimeMs                                        ownedSince_ = 0; // Time of restore().
+    bool                                          isFenced_ = false;
+    bool                                          needsSchedule_ = false;
+    TimeMs                                        scheduleAt_ = 0; // Earliest time of a round.
+    std::int64_t                                  placementRounds_ = 0;
+    std::vector<ResourceSet>                      unplaceable_;      // Needs that fit nowhere now.
+    CapacityIndex                                 capacityIndex_;    // Empty between rounds.
+    int                                           explanations_ = 0; // Logged in this round.
+    std::int64_t                                  placed_ = 0;       // Tasks placed in this round.
+    std::int64_t                                  liveRuns_ = 0;     // On all workers.
+    TimeMs                                        tickedAt_ = 0;     // Last tick. 0: none yet.
+    bool                                          isOverloaded_ = false; // Ticks come late.
+    std::set<std::string>                         workersToTick_;        // Ticked by advance().
     // When the next occurrence is due, on the wall clock. 0: none is known.
-    std::int64_t                                 nextDueMs_ = 0;
-    std::map<std::string, JobEntry, std::less<>> jobs_;          // By id.
-    std::set<std::string>                        active_;        // Ids of jobs that aren't over.
-    std::map<std::string, Worker, std::less<>>   workers_;       // By id.
-    std::map<std::string, ResourceSet>           tenantUsed_;    // Needs of placed tasks.
-    std::map<std::string, ResourceSet>           tenantWanted_;  // Needs of ready tasks that wait.
-    std::map<std::string, ResourceSet>           tenantCovered_; // Part that the allowance covers.
-    std::map<std::string, ResourceSet>           allowances_;    // By tenant. Missing: zero.
-    std::map<std::string, TimeMs>                cordoned_;      // Start of the cordon, by worker.
+    std::int64_t                                  nextDueMs_ = 0;
+    std::map<std::string, JobEntry, std::less<>>  jobs_;          // By id.
+    std::set<std::string>                         active_;        // Ids of jobs that aren't over.
+    std::map<std::string, Worker, std::less<>>    workers_;       // By id.
+    std::map<std::string, ResourceSet>            tenantUsed_;    // Needs of placed tasks.
+    std::map<std::string, ResourceSet>            tenantWanted_;  // Needs of ready tasks that wait.
+    std::map<std::string, ResourceSet>            tenantCovered_; // Part that the allowance covers.
+    std::map<std::string, ResourceSet>            allowances_;    // By tenant. Missing: zero.
+    std::map<std::string, TimeMs>                 cordoned_;      // Start of the cordon, by worker.
     // Needs of tasks that lack only a worker, by how their jobs stand against their objectives.
-    ResourceSet                                  wanted_;          // On time, and unbounded ones.
-    ResourceSet                                  wantedLate_;      // Late, but still of use.
-    std::set<std::string>                        reservedWorkers_; // Kept for unbounded tasks.
-    std::set<std::string>                        changed_;         // Jobs with progress to record.
-    std::set<std::string>                        submitted_;       // Jobs to record.
-    std::vector<Effect>                          effects_;         // Effects of the next batch.
-    std::optional<Batch>                         batch_;           // Being appended. Nothing: none.
-    std::int64_t                                 sequence_ = 0;    // Number of the last append.
-    std::optional<Handover>                      previousHandover_; // Nothing: none was written.
-    bool                                         isHandoverRemoved_ = false; // No longer stored.
-    HandoverStage                                handover_ = HandoverStage::None;
-    TimeMs                                       flushedAt_ = 0; // Time of the last batch.
-    std::vector<PoolAction>                      actions_;
+    ResourceSet                                   wanted_;          // On time, and unbounded ones.
+    ResourceSet                                   wantedLate_;      // Late, but still of use.
+    std::set<std::string>                         reservedWorkers_; // Kept for unbounded tasks.
+    std::set<std::string>                         changed_;         // Jobs with progress to record.
+    std::set<std::string>                         submitted_;       // Jobs to record.
+    std::map<std::string, HomeEntry, std::less<>> homes_;           // By queue.
+    std::set<std::string>                         changedHomes_;    // Queues whose homes to record.
+    std::vector<Effect>                           effects_;         // Effects of the next batch.
+    std::optional<Batch>                          batch_;        // Being appended. Nothing: none.
+    std::int64_t                                  sequence_ = 0; // Number of the last append.
+    std::optional<Handover>                       previousHandover_; // Nothing: none was written.
+    bool                                          isHandoverRemoved_ = false; // No longer stored.
+    HandoverStage                                 handover_ = HandoverStage::None;
+    TimeMs                                        flushedAt_ = 0; // Time of the last batch.
+    std::vector<PoolAction>                       actions_;
 };
 
 // Returns the capacity that a task occupies on a worker. Fillers occupy no cpu: they use only what
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -1,4 +1,5 @@
 // Ownership of pools in a node: each token is used by one scheduler only, and by none after a planned stop.
+// Queues that move between pools: one pool accepts their jobs, and each job is found where it is held.
 
 #include "node/node_internal.h"
 
@@ -23,19 +24,29 @@
         fences.push_back(writer);
         loop_.post([slot] { slot(CallOutcome::Done); });
     }
-    auto append(const JournalWriter &writer, const std::vector<KeyedRecord> & /*records*/,
-                OutcomeSlot          slot) -> void override
+    auto append(const JournalWriter &writer, const std::vector<KeyedRecord> &records,
+                OutcomeSlot slot) -> void override
     {
         appends.push_back(writer);
         if (areAppendsLost) {
-            return; // The caller's own timeout is what ends the wait.
+            loop_.post([slot] { slot(CallOutcome::Unknown); }, 300);
+            return;
         }
         const auto isFenced = writer.epoch < fencedBelow;
+        for (const auto &record : records) {
+            if (!isFenced) {
+                journal[writer.partition][record.key] = record.value;
+            }
+        }
         loop_.post([slot, isFenced] { slot(isFenced ? CallOutcome::Fenced : CallOutcome::Done); });
     }
-    auto readNewest(std::int64_t /*partition*/, RecordsSlot slot) -> void override
+    auto readNewest(std::int64_t partition, RecordsSlot slot) -> void override
     {
-        loop_.post([slot] { slot(std::vector<KeyedRecord>()); });
+        auto records = std::vector<KeyedRecord>();
+        for (const auto &[key, value] : journal[partition]) {
+            records.push_back({key, value});
+        }
+        loop_.post([slot, records] { slot(records); });
     }
     auto join(const std::string & /*member*/, std::int64_t /*generation*/, TimeMs /*ttlMs*/,
               JoinSlot slot) -> void override
@@ -68,13 +79,7 @@
         page.next = 1;
         page.isComplete = from < 0;
         page.isCurrent = true;
-        if (source == DirectorySource::Operators && from < 0) {
-            auto rules = CatalogRules{};
-            rules.version = 1;
-            auto queue = QueueRule{};
-            queue.name = "queue";
-            queue.pool = "pool";
-            rules.queues.push_back(queue);
+        if (source == DirectorySource::Operators) {
             page.changes.emplace_back(CatalogChanged{rules});
         }
         loop_.post([slot, page] { slot(page); }, from < 0 ? 0 : 50);
@@ -100,6 +105,19 @@
     {
     }
 
+    // Returns rules that send the queue to the pool.
+    static auto makeRules(std::int64_t version, const std::string &pool) -> CatalogRules
+    {
+        auto rules = CatalogRules{};
+        rules.version = version;
+        auto queue = QueueRule{};
+        queue.name = "queue";
+        queue.pool = pool;
+        rules.queues.push_back(queue);
+        return rules;
+    }
+
+    CatalogRules               rules = makeRules(1, "pool");
     std::int64_t               generation = 5;
     std::int64_t               fencedBelow = 0; // Appends with a lower epoch are refused.
     bool                       areAppendsLost = false;
@@ -110,7 +128,8 @@
     int                        joins = 0;
     std::vector<std::string>   leftMembers;
 
-    std::map<std::int64_t, std::string> ownersByPartition; // The reply to owners().
+    std::map<std::int64_t, std::string> ownersByPartition;              // The reply to owners().
+    std::map<std::int64_t, std::map<std::string, std::string>> journal; // Records by partition.
 
 private:
     EventLoop &loop_;
@@ -119,9 +138,13 @@
 struct NodeFixture {
     explicit NodeFixture(const std::string &member = "n@127.0.0.1:1#1")
         : store(loop), directory(loop, store, settings), ownership(loop, store, settings, member),
-          pools(loop, {store, store}, settings, directory, ownership)
+          pools(loop, {store, store}, settings, directory, ownership),
+          router(loop, peers, settings, pools, ownership)
     {
         configureLog({"test", -1});
+        pools.setCallPool([this](const PoolCall &call, TimeMs deadline, PoolAnswerSlot slot) {
+            router.route(call, deadline, std::move(slot));
+        });
         directory.start();
     }
 
@@ -133,19 +156,43 @@
         store.generation += 2;
     }
 
-    // Returns the answer to a submission of a job, or nothing within 500 ms.
-    auto submit(const std::string &id) -> std::optional<PoolStatus>
+    // Returns the answer to a call, or nothing within 500 ms.
+    auto call(PoolCall call) -> std::optional<PoolAnswer>
     {
-        auto spec = JobSpec{};
+        const auto answered = std::make_shared<std::optional<PoolAnswer>>();
+        router.route(call, bootMs() + 400,
+                     [answered](const PoolAnswer &answer) { *answered = answer; });
+        run(500);
+        return *answered;
+    }
+
+    // As a caller of the queue, by the current rules.
+    auto callQueue(PoolVerb verb, const std::string &id) -> std::optional<PoolAnswer>
+    {
+        const auto &pool = store.rules.queues.front().pool;
+        auto        spec = JobSpec{};
         spec.id = id;
         spec.queue = "queue";
-        spec.pool = "pool";
+        spec.pool = pool;
         spec.steps.emplace_back();
-        const auto status = std::make_shared<std::optional<PoolStatus>>();
-        pools.handle({PoolVerb::Submit, "pool", id, "queue", std::move(spec)},
-                     [status](const PoolAnswer &answer) { *status = answer.status; });
-        run(500);
-        return *status;
+        return call({verb, pool, id, "queue", spec, PoolScope::All, store.rules.version});
+    }
+
+    auto submit(const std::string &id) -> std::optional<PoolStatus>
+    {
+        const auto answer = callQueue(PoolVerb::Submit, id);
+        return answer ? std::optional(answer->status) : std::nullopt;
+    }
+
+    auto moveQueue(const std::string &pool) -> void
+    {
+        store.rules = FakeStore::makeRules(store.rules.version + 1, pool);
+        run(300);
+    }
+
+    auto holds(const std::string &pool, const std::string &id) -> bool
+    {
+        return pools.pools().at(pool)->scheduler()->holdsJob(id);
     }
 
     // Makes one member the owner of every partition.
@@ -165,13 +212,15 @@
         loop.run();
     }
 
-    EventLoop     loop;
-    NodeSettings  settings;
-    FakeStore     store;
-    DirectoryTask directory;
-    OwnershipTask ownership;
-    PoolsTask     pools;
-    bool          isStarted = false;
+    EventLoop      loop;
+    NodeSettings   settings;
+    FakeStore      store;
+    DirectoryTask  directory;
+    OwnershipTask  ownership;
+    PoolsTask      pools;
+    ConnectionPool peers{loop, {}};
+    RouterTask     router;
+    bool           isStarted = false;
 };
 
 } // namespace
@@ -312,3 +361,111 @@
     node.run(1'500);
     cr_assert_eq(node.store.joins, joins);
 }
+
+// Guards against two runs of a submission, a 410 for an accepted one, and a cancel that stops nothing: calls
+// went to the pool that the newest rules name, and the job stayed where it was accepted.
+Test(node, a_job_is_found_and_cancelled_after_its_queue_has_moved)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert(node.holds("pool", "a"));
+    cr_assert_not(node.holds("other", "a"));
+    cr_assert(node.callQueue(PoolVerb::Query, "a")->status == PoolStatus::Ok);
+    cr_assert_eq(node.callQueue(PoolVerb::CountPending, "")->count, 1);
+    cr_assert(node.callQueue(PoolVerb::Cancel, "a")->status == PoolStatus::Ok);
+    cr_assert(node.callQueue(PoolVerb::Query, "a")->state == JobState::Cancelled);
+    cr_assert(node.callQueue(PoolVerb::Query, "b")->status == PoolStatus::Missing);
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    cr_assert(node.holds("other", "b"));
+}
+
+// Guards against the same after the queue has moved on and back, and a new owner has read the journals.
+Test(node, a_queue_that_moves_on_and_back_keeps_all_its_jobs_through_a_takeover)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    node.moveQueue("third");
+    cr_assert(node.submit("c") == PoolStatus::Ok);
+    node.moveQueue("pool");
+    node.reassignToAnotherAndBack();
+    node.run(1'000);
+    for (const auto *id : {"a", "b", "c"}) {
+        cr_assert(node.submit(id) == PoolStatus::Ok);
+        cr_assert(node.callQueue(PoolVerb::Query, id)->status == PoolStatus::Ok);
+    }
+    cr_assert(node.holds("pool", "a") && node.holds("other", "b") && node.holds("third", "c"));
+    cr_assert_not(node.holds("pool", "b") || node.holds("pool", "c"));
+}
+
+// Guards against jobs of a pool that no queue leads to any more, which a new owner didn't take over.
+Test(node, a_pool_without_a_queue_is_taken_over_while_it_has_jobs)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    node.reassignToAnotherAndBack();
+    node.run(1'000);
+    cr_assert(node.holds("pool", "a"));
+    cr_assert_not(node.pools.pools().at("pool")->isDormant());
+    cr_assert(node.callQueue(PoolVerb::Cancel, "a")->status == PoolStatus::Ok);
+    node.run(100);
+    cr_assert(node.pools.pools().at("pool")->isDormant());
+}
+
+// Guards against two pools that accept the same submission while the record of the move has no answer: calls
+// wait or are refused, and none is told that there is no such job.
+Test(node, no_job_counts_as_missing_before_the_move_of_its_queue_is_recorded)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    node.store.areAppendsLost = true;
+    for (const auto verb : {PoolVerb::Query, PoolVerb::Submit, PoolVerb::Cancel}) {
+        const auto answer = node.callQueue(verb, "a");
+        cr_assert(!answer || answer->status == PoolStatus::Refused
+                  || answer->status == PoolStatus::NotOwner
+                  || answer->status == PoolStatus::Unknown);
+    }
+    node.store.areAppendsLost = false;
+    node.run(700);
+    cr_assert(node.callQueue(PoolVerb::Query, "a")->status == PoolStatus::Ok);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_not(node.holds("other", "a"));
+}
+
+// Guards against two homes of a queue: a node with older rules must not take it back from the newer ones.
+Test(node, a_pool_releases_a_queue_to_newer_rules_only)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    const auto release = [&](std::int64_t version) {
+        return node.call(
+            {PoolVerb::ReleaseQueue, "other", "", "queue", {}, PoolScope::All, version});
+    };
+    cr_assert(release(1)->status == PoolStatus::Refused);
+    cr_assert(node.pools.pools().at("other")->scheduler()->isHomeOf("queue"));
+    cr_assert(release(3)->status == PoolStatus::Ok);
+    cr_assert_not(node.pools.pools().at("other")->scheduler()->isHomeOf("queue"));
+}
+
+// Guards against a job that is refused for long because the owner hasn't read the newest rules yet.
+Test(node, a_caller_with_newer_rules_than_the_owner_waits_for_it)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    auto call = PoolCall{PoolVerb::Query, "pool", "a", "moved", {}, PoolScope::All, 2};
+    cr_assert(node.call(call)->status == PoolStatus::NotOwner);
+    call.version = 1;
+    cr_assert(node.call(call)->status == PoolStatus::Refused);
+}
