--- a/emulator/store.py
+++ b/emulator/store.py
@@ -68,7 +68,19 @@
         self.generation = 0
         self.members = {}  # Name to TTL in s, time of the last join, and the generation that the member has seen.
         self.target = {}  # Partition to the member that it is assigned to in this generation.
-        self.owner = {}  # Partition to the member that owns it now.
+        self.owners_now = {}  # Partition to the member that owns it now. Set by way of `owner`.
+        self.held_since = {}  # Partition to the generation since which that member has owned it.
+
+    @property
+    def owner(self):
+        return dict(self.owners_now)
+
+    @owner.setter
+    def owner(self, owners):
+        self.held_since = {
+            part: self.held_since[part] if self.owners_now.get(part) == name else self.generation
+            for part, name in owners.items()}
+        self.owners_now = dict(owners)
 
     def rebalance(self):
         self.generation += 1
@@ -92,16 +104,23 @@
         self.members[name] = (ttl, time.monotonic(), generation)
         if is_new:
             self.rebalance()
-        for part, owner in list(self.owner.items()):
-            if owner == name and self.target.get(part) != name and generation >= self.generation:
-                del self.owner[part]  # The member has seen this generation, so it has released the partition.
+        # A member that has seen this generation has released the partitions that go to others.
+        is_confirmed = generation >= self.generation
+        owner = {part: member for part, member in self.owner.items()
+                 if not (is_confirmed and member == name and self.target.get(part) != name)}
         for part, target in self.target.items():
-            if target == name and part not in self.owner:
-                self.owner[part] = name
+            if target == name:
+                owner.setdefault(part, name)
+        self.owner = owner
         parts = [[self.topic, part, 0] for part, target in self.target.items()
                  if target == name and self.owner.get(part) == name]
         return {"generation": self.generation, "parts": parts}
 
+    def commit(self, name, generation, part):
+        """Returns whether the member holds the partition, and has since this generation."""
+        self.expire()
+        return self.owner.get(part) == name and self.held_since[part] <= generation
+
     def reassign(self):
         """Moves every partition to the next member at once; none is released first."""
         self.expire()
@@ -165,6 +184,11 @@
             body = request.json()
             group = self.groups.setdefault(body["group"], Group(body["topics"][0]))
             return 200, group.join(body["member"], body["ttlMs"] / 1000, body.get("generation", 0))
+        if name == "log-commit":
+            body = request.json()
+            group = self.groups.get(body["group"])
+            is_held = group is not None and group.commit(body["member"], body["generation"], body["part"])
+            return (200 if is_held else 409), {}
         if name == "log-leave":
             body = request.json()
             if body["group"] in self.groups:
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -178,6 +178,8 @@
     auto join() -> void;
     auto renew() -> void;
     auto onRenewed(TimeMs sentAt, const absl::StatusOr<Membership> &membership) -> void;
+    auto checkHeld() -> void;
+    auto onChecked(std::int64_t partition, std::int64_t token, bool isHeld) -> void;
     auto logStoreChange(const absl::Status &status) -> void; // Logs changes only.
     auto pollOwners() -> void;
     auto onOwnersPolled(const Owners &owners) -> void;
@@ -318,7 +320,7 @@
     // from 1 again, and the store would ignore them as repeats.
     std::map<std::string, std::int64_t> usedTokens_;
     TimeMs                              handoverTimeoutAt_ = 0;
-    std::function<void()>               onHandoverDone_; // Null: no handover is in progress.
+    std::vector<std::function<void()>>  onHandoverDone_; // Empty: no handover is in progress.
     std::unique_ptr<Timer>              timer_;
 };
 
--- a/src/node/ownership_task.cpp
+++ b/src/node/ownership_task.cpp
@@ -115,6 +115,7 @@
         changed.emit(change);
     }
     renewed.emit(ownership_.termUntil());
+    checkHeld();
     if (isNewGeneration || isReserve_) {
         refreshOwners();
     }
@@ -127,6 +128,34 @@
     loop_.post([this] { renew(); }, settings_.ownership.renewMs);
 }
 
+// Asks the store about partitions that another member may have owned meanwhile. Without an answer it is asked
+// again after the next renewal.
+auto OwnershipTask::checkHeld() -> void
+{
+    for (const auto partition : ownership_.unchecked()) {
+        const auto token = ownership_.tokens().at(partition);
+        group_.checkHeld(member_, partition, token,
+                         [this, partition, token](const absl::StatusOr<bool> &isHeld) {
+                             if (isHeld.ok() && !isLeaving_ && isMember_) {
+                                 onChecked(partition, token, *isHeld);
+                             }
+                         });
+    }
+}
+
+auto OwnershipTask::onChecked(std::int64_t partition, std::int64_t token, bool isHeld) -> void
+{
+    const auto change = ownership_.onChecked(partition, token, isHeld);
+    if (change.isEmpty()) {
+        return;
+    }
+    logEvent(
+        LogLevel::Info, "ownership.interrupted",
+        {{"partition", partition}, {"token", token}, {"new_token", change.acquired.at(partition)}});
+    changed.emit(change);
+    startHandoverOfLost([] {});
+}
+
 auto OwnershipTask::isIsolated() const -> bool
 {
     return lastContactAt_ > 0 && bootMs() - lastContactAt_ > kIsolatedAfterMs;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -480,7 +480,7 @@
 auto PoolsTask::startHandover(bool isAll, std::function<void()> done) -> void
 {
     handoverTimeoutAt_ = bootMs() + kHandoverTimeoutMs;
-    onHandoverDone_ = std::move(done);
+    onHandoverDone_.push_back(std::move(done));
     for (auto &[name, pool] : pools_) {
         if (isAll || !isOwned(name, *pool)) {
             leaving_.insert(name);
@@ -492,7 +492,7 @@
 
 auto PoolsTask::checkHandover() -> void
 {
-    if (!onHandoverDone_) {
+    if (onHandoverDone_.empty()) {
         return;
     }
     const auto isHandoverComplete = std::ranges::all_of(leaving_, [&](const auto &name) {
@@ -508,8 +508,9 @@
         pools_.erase(name);
     }
     leaving_.clear();
-    const auto done = std::exchange(onHandoverDone_, nullptr);
-    done();
+    for (const auto &done : std::exchange(onHandoverDone_, {})) {
+        done();
+    }
     refresh();
 }
 
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -7,7 +7,7 @@
 //
 // The store may reassign partitions before a term ends, so a term only bounds how long a member acts on an
 // assignment that was withdrawn. What decides is the fencing token: each new owner makes the store refuse
-// all lower ones. A partition keeps its token only while no other member can have owned it.
+// all lower ones. A partition keeps its token only while no other member has owned it.
 //
 // Index of this file
 // [SECTION] Ownership
@@ -43,8 +43,10 @@
 
     // Commands.
     // Applies the reply to a renewal that was sent at `sentAt` and answered at `now`. A partition that
-    // another member may have owned since the last renewal is both lost and acquired: it gets a new token.
+    // another member has owned since the last renewal is both lost and acquired: it gets a new token.
     auto onRenewed(TimeMs sentAt, TimeMs now, const Membership &membership) -> OwnershipChange;
+    // Applies the store's answer on whether a partition was held without interruption under this token.
+    auto onChecked(std::int64_t partition, std::int64_t token, bool isHeld) -> OwnershipChange;
     auto leave() -> OwnershipChange; // Gives up all partitions, and ends the term.
 
     // Queries.
@@ -52,10 +54,13 @@
     auto generation() const -> std::int64_t { return generation_; }
     auto holds(std::int64_t partition) const -> bool { return tokens_.contains(partition); }
     auto tokens() const -> const std::map<std::int64_t, std::int64_t> & { return tokens_; }
+    // Partitions that another member may have owned meanwhile: the store has to be asked.
+    auto unchecked() const -> const std::set<std::int64_t> & { return unchecked_; }
 
 private:
     OwnershipSettings                    settings_;
     std::map<std::int64_t, std::int64_t> tokens_; // By partition that is held.
+    std::set<std::int64_t>               unchecked_;
     std::int64_t                         generation_ = 0;
     TimeMs                               expiresAt_ = 0; // Others may own the partitions then.
     TimeMs                               termUntil_ = 0;
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -76,6 +76,7 @@
 {
 public:
     using JoinSlot = std::function<void(absl::StatusOr<Membership>)>;
+    using HeldSlot = std::function<void(absl::StatusOr<bool>)>;
     using OwnersSlot = std::function<void(absl::StatusOr<std::map<std::int64_t, std::string>>)>;
 
     virtual ~OwnershipGroup() = default;
@@ -86,6 +87,9 @@
                       JoinSlot slot) -> void = 0;
     virtual auto leave(const std::string &member, std::function<void(bool isDone)> slot)
         -> void = 0;
+    // Whether the member has held the partition without interruption since this generation.
+    virtual auto checkHeld(const std::string &member, std::int64_t partition,
+                           std::int64_t generation, HeldSlot slot) -> void = 0;
     virtual auto owners(OwnersSlot slot) -> void = 0; // Current owner of each owned partition.
 };
 
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -68,6 +68,16 @@
         hasLeft = true;
         loop_.post([slot] { slot(true); });
     }
+    auto checkHeld(const std::string & /*member*/, std::int64_t /*partition*/, std::int64_t token,
+                   HeldSlot slot) -> void override
+    {
+        ++checks;
+        if (areChecksLost) {
+            loop_.post([slot] { slot(absl::UnavailableError("no answer")); });
+        } else {
+            loop_.post([slot, isHeld = token >= heldSince] { slot(isHeld); });
+        }
+    }
     auto owners(OwnersSlot slot) -> void override
     {
         loop_.post([this, slot] { slot(ownersByPartition); });
@@ -117,11 +127,14 @@
         return rules;
     }
 
-    CatalogRules               rules = makeRules(1, "pool");
-    std::int64_t               generation = 5;
-    std::int64_t               fencedBelow = 0; // Appends with a lower epoch are refused.
-    bool                       areAppendsLost = false;
-    bool                       areRenewalsLost = false;
+    CatalogRules rules = makeRules(1, "pool");
+    std::int64_t generation = 5;
+    std::int64_t fencedBelow = 0; // Appends with a lower epoch are refused.
+    bool         areAppendsLost = false;
+    bool         areRenewalsLost = false;
+    bool         areChecksLost = false;
+    int          checks = 0;
+    std::int64_t heldSince = 0; // Generation since which this node holds all partitions.
     std::vector<JournalWriter> fences;
     std::vector<JournalWriter> appends;
     bool                       hasLeft = false;
@@ -154,6 +167,7 @@
     {
         store.fencedBelow = store.generation + 1;
         store.generation += 2;
+        store.heldSince = store.generation;
     }
 
     // Returns the answer to a call, or nothing within 500 ms.
@@ -286,6 +300,34 @@
     cr_assert_eq(node.store.appends.back().epoch, 7);
 }
 
+// Guards against takeovers of pools that nobody else had: nodes that are restarted in turn change the group
+// several times between two renewals.
+Test(node, a_pool_keeps_its_scheduler_when_the_group_changes_more_than_once)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.store.generation = 8;
+    node.run(1'200);
+    cr_assert_eq(node.store.fences.size(), 1U);
+    cr_assert_eq(node.pools.pools().at("pool")->identity().token, 5);
+    cr_assert_eq(node.store.checks, 16); // Once for each partition.
+}
+
+// Guards against a reassignment that is missed because the store's answer on it is lost.
+Test(node, an_interruption_is_found_once_the_store_answers)
+{
+    auto node = NodeFixture();
+    node.run(200);
+    node.store.areChecksLost = true;
+    node.reassignToAnotherAndBack();
+    node.run(1'000);
+    cr_assert_eq(node.pools.pools().at("pool")->identity().token, 5);
+    node.store.areChecksLost = false;
+    node.run(1'000);
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert_eq(node.store.appends.back().epoch, 7);
+}
+
 // Guards against the same while the answers of renewals are lost, so that no generation in between is seen.
 Test(node, a_reassignment_during_lost_renewals_gives_a_new_token)
 {
--- a/tests/unit/test_ownership.cpp
+++ b/tests/unit/test_ownership.cpp
@@ -42,12 +42,36 @@
 {
     auto ownership = Ownership({});
     ownership.onRenewed(1'000, 1'010, {5, {3}});
-    const auto change = ownership.onRenewed(1'450, 1'460, {7, {3}});
+    cr_assert(ownership.onRenewed(1'450, 1'460, {7, {3}}).isEmpty());
+    cr_assert(ownership.unchecked().contains(3));
+    const auto change = ownership.onChecked(3, 5, false);
     cr_assert(change.lost.contains(3));
     cr_assert_eq(change.acquired.at(3), 7);
     cr_assert_eq(ownership.tokens().at(3), 7);
 }
 
+Test(ownership, keeps_its_token_if_the_store_says_that_it_was_held_throughout)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    ownership.onRenewed(1'450, 1'460, {8, {3}});
+    cr_assert(ownership.onChecked(3, 5, true).isEmpty());
+    cr_assert(ownership.unchecked().empty());
+    cr_assert_eq(ownership.tokens().at(3), 5);
+}
+
+// Guards against a second token for one takeover: answers on an earlier token come late.
+Test(ownership, ignores_answers_on_tokens_that_it_no_longer_has)
+{
+    auto ownership = Ownership({});
+    ownership.onRenewed(1'000, 1'010, {5, {3}});
+    ownership.onRenewed(1'450, 1'460, {7, {3}});
+    ownership.onChecked(3, 5, false);
+    ownership.onRenewed(1'900, 1'910, {8, {3}});
+    cr_assert(ownership.onChecked(3, 5, false).isEmpty());
+    cr_assert_eq(ownership.tokens().at(3), 7);
+}
+
 Test(ownership, keeps_its_token_after_an_outage_in_which_the_group_didnt_change)
 {
     auto ownership = Ownership({});
