--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -93,6 +93,10 @@
             return status;
         }
     }
+    if (taskCount(spec) > kMaxTasksPerJob) {
+        return badJob(
+            fmt::format("it has {} tasks, more than {}", taskCount(spec), kMaxTasksPerJob));
+    }
     if (spec.occurrences < 0 || spec.occurrences > kMaxOccurrences || !isAmount(spec.intervalMs)
         || spec.startAtMs < 0 || spec.startAtMs > kMaxWallMs) {
         return badJob("the schedule is out of range");
@@ -136,6 +140,15 @@
     return std::max<std::int64_t>(1, spec.occurrences);
 }
 
+auto taskCount(const JobSpec &spec) -> std::int64_t
+{
+    std::int64_t count = 0;
+    for (const auto &step : spec.steps) {
+        count += step.count;
+    }
+    return count;
+}
+
 auto occurrenceDueMs(const JobSpec &spec, std::int64_t occurrence) -> std::int64_t
 {
     return spec.occurrences == 0 ? 0 : spec.startAtMs + occurrence * spec.intervalMs;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -71,6 +71,7 @@
 };
 
 constexpr std::int64_t kMaxTasksPerStep = 10'000;
+constexpr std::int64_t kMaxTasksPerJob = 100'000; // Of one occurrence. A node keeps 10 MB for them.
 constexpr std::size_t  kMaxSteps = 256;
 constexpr std::int64_t kMaxOccurrences = 100'000;
 
@@ -131,6 +132,8 @@
     JobState                           state = JobState::Queued;
     std::map<std::int64_t, Occurrence> occurrences;         // By number. Created when due.
     std::int64_t                       doneOccurrences = 0; // Stored, but never raised above 0.
+    // Its progress is one record of an earlier version, however large, and has to be written anew.
+    bool                               isUnsplit = false;
 
     auto isOver() const -> bool { return state >= JobState::Completed; }
 };
@@ -141,6 +144,7 @@
 
 auto stateName(JobState state) -> std::string_view;
 auto occurrenceCount(const JobSpec &spec) -> std::int64_t; // 1 for jobs that run once.
+auto taskCount(const JobSpec &spec) -> std::int64_t;       // Of one occurrence.
 
 // Returns when an occurrence may start, on the wall clock. 0: immediately.
 auto occurrenceDueMs(const JobSpec &spec, std::int64_t occurrence) -> std::int64_t;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -2,6 +2,10 @@
 
 #include "jobs/jobs_wire.h"
 
+#include <fmt/format.h>
+
+#include <charconv>
+
 namespace peridotwalk {
 
 // Progress of a task. Tasks in their initial state have no row.
@@ -65,20 +69,54 @@
     return task.run == 0 && task.endedRun == 0 && !task.isDone;
 }
 
-auto appendRows(const Occurrence &occurrence, std::int64_t number, std::vector<TaskRow> &rows)
-    -> void
+// Where a task is when all tasks of a job are counted, from occurrence 0 and step 0 on.
+auto positionOf(const JobSpec &spec, const TaskRef &task) -> std::int64_t
+{
+    auto position = task.occurrence * taskCount(spec) + task.index;
+    for (std::int64_t step = 0; step < task.step; ++step) {
+        position += spec.steps[static_cast<std::size_t>(step)].count;
+    }
+    return position;
+}
+
+// Adds the rows of an occurrence's tasks between two positions.
+auto appendRows(const JobSpec &spec, const Occurrence &occurrence, std::int64_t number,
+                std::int64_t first, std::int64_t last, std::vector<TaskRow> &rows) -> void
 {
+    auto begin = number * taskCount(spec); // Position of the step's first task.
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
         const auto &tasks = occurrence.steps[step];
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            const auto &task = tasks[index];
+        const auto  end = std::min(std::ssize(tasks), last - begin);
+        for (auto index = std::max<std::int64_t>(0, first - begin); index < end; ++index) {
+            const auto &task = tasks[static_cast<std::size_t>(index)];
             if (!isInitial(task)) {
-                rows.push_back({number, static_cast<std::int64_t>(step),
-                                static_cast<std::int64_t>(index), task.run, task.endedRun,
-                                task.failures, task.isDone, task.checkpoint, task.worker});
+                rows.push_back({number, static_cast<std::int64_t>(step), index, task.run,
+                                task.endedRun, task.failures, task.isDone, task.checkpoint,
+                                task.worker});
             }
         }
+        begin += std::ssize(tasks);
+    }
+}
+
+// The key of a progress record is the job's id, followed by a slash and the record's number unless it is 0.
+auto progressKey(const std::string &job, std::int64_t number) -> std::string
+{
+    return number == 0 ? kProgressPrefix + job
+                       : fmt::format("{}{}/{}", kProgressPrefix, job, number);
+}
+
+// Returns the job's id and the record's number.
+auto parseProgressKey(std::string_view key) -> std::pair<std::string_view, std::int64_t>
+{
+    key.remove_prefix(1);
+    const auto slash = key.find('/');
+    if (slash == std::string_view::npos) {
+        return {key, 0};
     }
+    std::int64_t number = 0;
+    std::from_chars(key.data() + slash + 1, key.data() + key.size(), number);
+    return {key.substr(0, slash), number};
 }
 
 auto queueHomePrefix(const std::string &pool) -> std::string
@@ -98,10 +136,12 @@
     return true;
 }
 
-auto applyProgress(Job &job, const ProgressRow &row) -> void
+auto applyProgress(Job &job, const ProgressRow &row, std::int64_t record) -> void
 {
-    job.state = static_cast<JobState>(row.state);
-    job.doneOccurrences = row.doneOccurrences;
+    if (record == 0) {
+        job.state = static_cast<JobState>(row.state);
+        job.doneOccurrences = row.doneOccurrences;
+    }
     for (const auto number : row.done) {
         auto &occurrence = job.occurrences[number] = makeOccurrence(job.spec);
         for (auto &tasks : occurrence.steps) {
@@ -115,10 +155,12 @@
         if (isNew) {
             found->second = makeOccurrence(job.spec);
         }
-        auto *task = findTask(job, {job.spec.id, entry.occurrence, entry.step, entry.index});
+        const auto ref = TaskRef{job.spec.id, entry.occurrence, entry.step, entry.index};
+        auto      *task = findTask(job, ref);
         if (task == nullptr) {
             continue;
         }
+        job.isUnsplit = job.isUnsplit || progressRecordOf(job.spec, ref) != record;
         task->run = entry.run;
         task->endedRun = entry.endedRun;
         task->failures = entry.failures;
@@ -140,19 +182,50 @@
     return {kSpecPrefix + job.spec.id, packWire(JobRow{job.spec, job.acceptedAtMs})};
 }
 
-auto encodeProgress(const Job &job) -> KeyedRecord
+auto encodeProgress(const Job &job, std::int64_t number) -> KeyedRecord
 {
-    auto row = ProgressRow{};
+    const auto count = taskCount(job.spec);
+    const auto first = number * kTasksPerRecord;
+    const auto last = first + kTasksPerRecord;
+    auto       row = ProgressRow{};
     row.state = static_cast<std::int64_t>(job.state);
     row.doneOccurrences = job.doneOccurrences;
-    for (const auto &[number, occurrence] : job.occurrences) {
-        if (isOccurrenceDone(occurrence) && hasNoLiveRun(occurrence)) {
-            row.done.push_back(number);
+    for (auto found = job.occurrences.lower_bound(first / count);
+         found != job.occurrences.end() && found->first * count < last; ++found) {
+        // Only an occurrence without rows in other records can be named in place of its rows.
+        const auto isWhole = found->first * count >= first && (found->first + 1) * count <= last;
+        if (isWhole && isOccurrenceDone(found->second) && hasNoLiveRun(found->second)) {
+            row.done.push_back(found->first);
         } else {
-            appendRows(occurrence, number, row.tasks);
+            appendRows(job.spec, found->second, found->first, first, last, row.tasks);
         }
     }
-    return {kProgressPrefix + job.spec.id, packWire(row)};
+    return {progressKey(job.spec.id, number), packWire(row)};
+}
+
+auto progressRecordOf(const JobSpec &spec, const TaskRef &task) -> std::int64_t
+{
+    return positionOf(spec, task) / kTasksPerRecord;
+}
+
+auto maxCheckpointBytes(std::int64_t maxRecordBytes) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::max<std::int64_t>(0, maxRecordBytes / kTasksPerRecord - kMaxTaskRowBytes));
+}
+
+auto checkRecordSize(const JobSpec &spec, std::int64_t maxRecordBytes) -> absl::Status
+{
+    auto job = Job();
+    job.spec = spec;
+    const auto record = encodeJob(job);
+    const auto bytes = std::ssize(record.key) + std::ssize(record.value) + 1;
+    if (bytes <= maxRecordBytes) {
+        return absl::OkStatus();
+    }
+    return makeError(
+        absl::StatusCode::kInvalidArgument, "job.check", "caller",
+        fmt::format("it takes {} bytes to store, more than {}", bytes, maxRecordBytes));
 }
 
 auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs
@@ -180,7 +253,8 @@
         if (record.key.empty() || record.key[0] != kProgressPrefix || record.value.empty()) {
             continue;
         }
-        const auto found = restored.jobs.find(std::string_view(record.key).substr(1));
+        const auto [id, number] = parseProgressKey(record.key);
+        const auto found = restored.jobs.find(id);
         auto       row = unpackWire<ProgressRow>("journal.restore", record.key, record.value);
         if (!row.ok() || found == restored.jobs.end()) {
             restored.errors.push_back(row.ok() ? makeError(absl::StatusCode::kDataLoss,
@@ -189,7 +263,7 @@
                                                : row.status());
             continue;
         }
-        applyProgress(found->second, *row);
+        applyProgress(found->second, *row, number);
     }
     return restored;
 }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -1,5 +1,8 @@
 // Encoding of jobs as journal records. Each job has a record with its specification, written once, and
-// one with its progress, written at each change. Both are msgpack.
+// records with its progress, written as they change. All are msgpack.
+//
+// The store limits the length of a record, so each record of the progress covers a fixed range of tasks,
+// counted through the occurrences and their steps. The first one also has the job's state.
 //
 // Index of this file
 // [SECTION] Records
@@ -18,8 +21,20 @@
 
 using JobTable = std::map<std::string, Job, std::less<>>; // By id.
 
+constexpr std::int64_t kTasksPerRecord = 128;
+constexpr std::int64_t kMaxTaskRowBytes = 320; // A task's row without its checkpoint.
+
 auto encodeJob(const Job &job) -> KeyedRecord; // The specification.
-auto encodeProgress(const Job &job) -> KeyedRecord;
+auto encodeProgress(const Job &job, std::int64_t number = 0) -> KeyedRecord;
+
+// Returns the number of the progress record that has a task's row, from 0.
+auto progressRecordOf(const JobSpec &spec, const TaskRef &task) -> std::int64_t;
+
+// Returns the length of the longest checkpoint that fits into a progress record of this length.
+auto maxCheckpointBytes(std::int64_t maxRecordBytes) -> std::size_t;
+
+// Returns ok, or an error if the specification doesn't fit into a record of this length.
+auto checkRecordSize(const JobSpec &spec, std::int64_t maxRecordBytes) -> absl::Status;
 
 // Result of restoreJobs().
 struct RestoredJobs {
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -10,6 +10,7 @@
 constexpr int    kNotFound = 404;
 constexpr int    kMethodNotAllowed = 405;
 constexpr int    kGone = 410;
+constexpr int    kTooLarge = 413;
 constexpr int    kUnavailable = 503;
 constexpr int    kGatewayTimeout = 504;
 constexpr TimeMs kSecondMs = 1'000;
@@ -160,6 +161,13 @@
     spec->queue = queue.name;
     spec->pool = queue.pool;
     spec->tenant = tenant == nullptr ? std::string() : tenant->name;
+    const auto size = checkRecordSize(*spec, settings_.pool.maxRecordBytes);
+    if (!size.ok()) {
+        logEvent(LogLevel::Info, "job.invalid",
+                 {{"job", id}, {"queue", queue.name}, {"error", size.ToString()}});
+        refuse(request.id, kTooLarge, std::string(size.message()));
+        return;
+    }
     const auto version = directory_.view().catalog.version();
     const auto arrivedAt = bootMs();
     router_.route(
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -9,6 +9,9 @@
 
 constexpr TimeMs       kMaxMs = 86'400'000;
 constexpr std::int64_t kMaxPartitions = 4'096;
+constexpr std::int64_t kMinRecordBytes =
+    65'536; // A progress record may have that many without checkpoints.
+constexpr std::int64_t kMaxStoreBytes = 1'073'741'824;
 constexpr std::int64_t kMaxCores = 1'024;
 
 auto readListen(ObjectReader &root, NodeSettings &settings, Errors &errors) -> void
@@ -28,6 +31,11 @@
     reader.integer("partitions", settings.ownership.partitions, 1, kMaxPartitions);
     reader.integer("ownership_ttl_ms", settings.ownership.ttlMs, 100, kMaxMs);
     reader.integer("renew_ms", settings.ownership.renewMs, 10, kMaxMs);
+    reader.integer("record_bytes", settings.pool.maxRecordBytes, kMinRecordBytes, kMaxStoreBytes);
+    reader.integer("append_bytes", settings.pool.maxAppendBytes, kMinRecordBytes, kMaxStoreBytes);
+    if (settings.pool.maxAppendBytes < settings.pool.maxRecordBytes) {
+        reader.fail("append_bytes", "must not be less than record_bytes");
+    }
     reader.integer("workers_poll_ms", settings.workersPollMs, 10, kMaxMs);
     if (settings.ownership.renewMs * 2 + settings.ownership.marginMs > settings.ownership.ttlMs) {
         reader.fail("renew_ms", "must leave time for two renewals in ownership_ttl_ms");
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -87,6 +87,11 @@
         if (!entry.job.isOver()) {
             active_.insert(id);
         }
+        if (std::exchange(entry.job.isUnsplit, false)) {
+            markChanged(id);
+            forEachTask(entry.job,
+                        [&](const TaskRef &ref, const JobTask & /*task*/) { markChanged(ref); });
+        }
         forEachTask(entry.job, [&](const TaskRef &ref, const JobTask &task) {
             entry.hasBegun = entry.hasBegun || task.isDone || task.failures > 0;
             if (!task.isLive()) {
@@ -191,12 +196,10 @@
     if (!isNewEnd) {
         return;
     }
-    markChanged(ref.job);
+    markChanged(ref);
     needsSchedule_ = true;
     task->endedRun = std::max(task->endedRun, run);
-    if (!checkpoint.empty()) {
-        task->checkpoint = checkpoint;
-    }
+    keepCheckpoint(*task, checkpoint);
     if (run == task->run) {
         task->worker.clear();
         task->phase = RunPhase::None;
@@ -206,9 +209,12 @@
         worker.consecutiveFailures = 0;
         task->isDone = true;
         if (stepOf(entry, ref).isGang) {
-            for (auto &member : entry.job.occurrences.at(ref.occurrence)
-                                    .steps[static_cast<std::size_t>(ref.step)]) {
-                member.isDone = true;
+            auto member = TaskRef{ref.job, ref.occurrence, ref.step, 0};
+            for (auto &state : entry.job.occurrences.at(ref.occurrence)
+                                   .steps[static_cast<std::size_t>(ref.step)]) {
+                state.isDone = true;
+                markChanged(member);
+                ++member.index;
             }
         }
     }
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -1,10 +1,18 @@
 #include "pool/pool_internal.h"
 
+#include <ranges>
+
 namespace peridotwalk {
 
 namespace {
 
 constexpr TimeMs kAppendRetryMs = 100; // The store answers in a few ms; each retry costs a call.
+constexpr std::int64_t kRecordOverhead = 8; // Bytes that the store's format adds to key and value.
+
+auto sizeOf(const KeyedRecord &record) -> std::int64_t
+{
+    return std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
+}
 
 } // namespace
 
@@ -12,6 +20,20 @@
 // [SECTION] Batches
 //-----------------------------------------------------------------------------
 
+auto PoolScheduler::State::markChanged(const TaskRef &task) -> void
+{
+    changed_[task.job].insert(progressRecordOf(jobs_.at(task.job).job.spec, task));
+}
+
+// A task resumes from its last checkpoint that fits into its record.
+auto PoolScheduler::State::keepCheckpoint(JobTask &task, const std::string &checkpoint) const
+    -> void
+{
+    if (!checkpoint.empty() && checkpoint.size() <= maxCheckpointBytes(settings_.maxRecordBytes)) {
+        task.checkpoint = checkpoint;
+    }
+}
+
 // Appends everything that changed since the last batch, or repeats a failed append.
 auto PoolScheduler::State::flush(Moment now) -> void
 {
@@ -21,7 +43,10 @@
     if (batch_) {
         if (!batch_->isInFlight && now.steadyMs >= batch_->retryAt) {
             batch_->isInFlight = true;
-            actions_.push_back(AppendJournal{sequence_, batch_->records});
+            const auto first =
+                batch_->records.begin() + static_cast<std::ptrdiff_t>(batch_->appended);
+            const auto last = first + static_cast<std::ptrdiff_t>(batch_->appending);
+            actions_.push_back(AppendJournal{sequence_, {first, last}});
         }
         return;
     }
@@ -41,8 +66,11 @@
         batch.records.push_back(encodeJob(jobs_.at(id).job));
         batch.states[id] = jobs_.at(id).job.state;
     }
-    for (const auto &id : changed_) {
-        batch.records.push_back(encodeProgress(jobs_.at(id).job));
+    for (const auto &[id, numbers] : changed_) {
+        // Backwards, as the first record of an earlier version may have rows of the others.
+        for (const auto number : numbers | std::views::reverse) {
+            batch.records.push_back(encodeProgress(jobs_.at(id).job, number));
+        }
         batch.states[id] = jobs_.at(id).job.state;
     }
     for (const auto &queue : changedHomes_) {
@@ -51,7 +79,11 @@
     batch.homes = std::exchange(changedHomes_, {});
     if (isHandoverDue) {
         handover_ = HandoverStage::Writing;
-        batch.records.push_back(encodeHandover(identity_.pool, makeHandover(now)));
+        auto record = encodeHandover(identity_.pool, makeHandover(now));
+        // Without a record the next owner waits until all leases have expired.
+        batch.records.push_back(sizeOf(record) <= settings_.maxRecordBytes
+                                    ? std::move(record)
+                                    : encodeHandoverRemoval(identity_.pool));
     } else if (isRemovalDue) {
         batch.records.push_back(encodeHandoverRemoval(identity_.pool));
     }
@@ -63,9 +95,26 @@
         onAppended(now, sequence_, CallOutcome::Done);
         return;
     }
-    ++sequence_;
+    appendNext(now);
+}
+
+// Appends the next records of the batch, as many as one append may have.
+auto PoolScheduler::State::appendNext(Moment now) -> void
+{
+    auto append = AppendJournal{++sequence_, {}};
+    auto bytes = std::int64_t{0};
+    for (auto index = batch_->appended; index < batch_->records.size(); ++index) {
+        const auto &record = batch_->records[index];
+        bytes += sizeOf(record);
+        if (bytes > settings_.maxAppendBytes && !append.records.empty()) {
+            break;
+        }
+        append.records.push_back(record);
+    }
+    batch_->appending = append.records.size();
+    batch_->startedAt = now.steadyMs;
     batch_->isInFlight = true;
-    actions_.push_back(AppendJournal{sequence_, batch_->records});
+    actions_.push_back(std::move(append));
 }
 
 auto PoolScheduler::State::onAppended(Moment now, std::int64_t sequence, CallOutcome outcome)
@@ -83,6 +132,12 @@
         batch_->retryAt = now.steadyMs + kAppendRetryMs;
         return;
     }
+    batch_->appended += batch_->appending;
+    batch_->appending = 0;
+    if (batch_->appended < batch_->records.size()) {
+        appendNext(now);
+        return;
+    }
     auto batch = *std::exchange(batch_, std::nullopt);
     isHandoverRemoved_ = true; // The owner's first batch removes or replaces it.
     if (handover_ == HandoverStage::Writing) {
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -509,10 +509,11 @@
     allocate(worker, ref, run);
     if (entry.job.state == JobState::Queued) {
         entry.job.state = JobState::Running;
+        markChanged(entry.job.spec.id);
     }
     logRunEvent("run.placed", ref, run.run, worker.peer.id, "");
     ++placed_;
-    markChanged(entry.job.spec.id);
+    markChanged(ref);
     afterAppend(StartEffect{ref, task.run, worker.peer.id});
     // An idle worker isn't held, so it may have ended or restarted. It is asked while the journal is written.
     if (!hasJustAnswered(now, worker) && !worker.isHoldInFlight) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -59,6 +59,9 @@
     // runs of the pool, at most maxEndDelayMs later.
     int          runsPerEndDelayMs = 40;
     TimeMs       maxEndDelayMs = 80;
+    // Limits of the store. A task's checkpoint that is too long for its record isn't kept.
+    std::int64_t maxRecordBytes = 262'144;
+    std::int64_t maxAppendBytes = 2'097'152;
     TimeMs       journalStallMs = 600;    // New jobs are refused while an append takes longer.
     TimeMs       workerBackoffMs = 3'000; // Backoff of a worker that failed several runs in a row.
     int          maxConsecutiveFailures = 3; // Failed runs in a row before a worker backs off.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -145,7 +145,8 @@
 // Progress of the handover record of this owner.
 enum class HandoverStage { None, Due, Writing, Done };
 
-// Changes that are appended to the journal together.
+// Changes that take effect together, once the journal has all of their records. They go into as many
+// appends as the store's limit asks for; each record holds by itself.
 struct Batch {
     std::vector<KeyedRecord>        records;
     std::map<std::string, JobState> states; // Job states in the batch, by job.
@@ -154,6 +155,8 @@
     TimeMs                          startedAt = 0; // When the batch was made.
     TimeMs                          retryAt = 0;   // After a failed append: when it is repeated.
     bool                            isInFlight = false;
+    std::size_t                     appended = 0;  // Records that the journal has.
+    std::size_t                     appending = 0; // Further ones that the last append has.
 };
 
 //-----------------------------------------------------------------------------
@@ -181,9 +184,12 @@
     State(PoolIdentity identity, const PoolSettings &settings, const FleetView &view);
 
     // Journal (journal.cpp)
-    auto markChanged(const std::string &id) -> void { changed_.insert(id); }
+    auto markChanged(const std::string &id) -> void { changed_[id].insert(0); } // Its state.
+    auto markChanged(const TaskRef &task) -> void;
     auto afterAppend(Effect effect) -> void { effects_.push_back(std::move(effect)); }
     auto flush(Moment now) -> void;
+    auto appendNext(Moment now) -> void;
+    auto keepCheckpoint(JobTask &task, const std::string &checkpoint) const -> void;
     auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
     auto isStalled(Moment now) const -> bool;
     auto recordHome(const std::string &queue) const -> KeyedRecord;
@@ -295,11 +301,12 @@
     ResourceSet                                   wanted_;          // On time, and unbounded ones.
     ResourceSet                                   wantedLate_;      // Late, but still of use.
     std::set<std::string>                         reservedWorkers_; // Kept for unbounded tasks.
-    std::set<std::string>                         changed_;         // Jobs with progress to record.
-    std::set<std::string>                         submitted_;       // Jobs to record.
-    std::map<std::string, HomeEntry, std::less<>> homes_;           // By queue.
-    std::set<std::string>                         changedHomes_;    // Queues whose homes to record.
-    std::vector<Effect>                           effects_;         // Effects of the next batch.
+    // Progress to record: numbers of records, by job.
+    std::map<std::string, std::set<std::int64_t>> changed_;
+    std::set<std::string>                         submitted_;    // Jobs to record.
+    std::map<std::string, HomeEntry, std::less<>> homes_;        // By queue.
+    std::set<std::string>                         changedHomes_; // Queues whose homes to record.
+    std::vector<Effect>                           effects_;      // Effects of the next batch.
     std::optional<Batch>                          batch_;        // Being appended. Nothing: none.
     std::int64_t                                  sequence_ = 0; // Number of the last append.
     std::optional<Handover>                       previousHandover_; // Nothing: none was written.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -427,9 +427,7 @@
         auto &entry = jobs_.at(row.task.job);
         entry.hasBegun = true;
         auto *task = findTask(entry.job, row.task);
-        if (!row.checkpoint.empty()) {
-            task->checkpoint = row.checkpoint;
-        }
+        keepCheckpoint(*task, row.checkpoint);
         if (!run.isConfirmed) {
             run.isConfirmed = true;
             run.confirmedAt = now.steadyMs;
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -394,7 +394,19 @@
 
 auto PoolWorld::perform(const AppendJournal &action) -> void
 {
-    const auto epoch = epoch_;
+    const auto   epoch = epoch_;
+    std::int64_t bytes = 0;
+    for (const auto &record : action.records) {
+        const auto size = std::ssize(record.key) + std::ssize(record.value) + 1;
+        bytes += size + 4;
+        if (size > settings_.maxRecordBytes) {
+            addViolation(fmt::format("record of {} bytes: {}", size, record.key));
+        }
+    }
+    if (bytes > settings_.maxAppendBytes) {
+        addViolation(fmt::format("append of {} bytes", bytes));
+    }
+    ++appends_;
     runLater(kCallMs, [this, action, epoch] {
         if (epoch != epoch_) {
             return; // This owner was replaced: the store refuses its appends.
@@ -412,7 +424,7 @@
                 }
             }
         }
-        const auto isLost = chance(faults_.lostAppends);
+        const auto isLost = chance(faults_.lostAppends) || areAppendsLost_;
         owner_->onAppended(now_, action.sequence,
                            isLost ? CallOutcome::Unknown : CallOutcome::Done);
     });
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -50,6 +50,8 @@
 public:
     PoolWorld(std::uint64_t seed, WorldFaults faults, int workers);
 
+    auto settings() -> PoolSettings & { return settings_; } // For the owners from now on.
+
     // Commands.
     auto submit(JobSpec spec) -> void;
     auto cancel(const std::string &id) -> void;
@@ -65,6 +67,8 @@
     auto reconnect(const std::string &worker) -> void { workers_.at(worker).isIsolated = false; }
     auto setViewStale(bool isStale) -> void { isViewStale_ = isStale; }
     auto setStoreDown(bool isDown) -> void { isStoreDown_ = isDown; }
+    // The owner's next appends reach the journal and aren't answered.
+    auto setAppendsLost(bool isLost) -> void { areAppendsLost_ = isLost; }
     auto changeView(const std::function<void(FleetView &)> &change) -> void;
 
     // Queries.
@@ -73,6 +77,8 @@
     auto now() const -> Moment { return now_; }
     auto violations() const -> const std::vector<std::string> & { return violations_; }
     auto accepted() const -> const std::set<std::string> & { return accepted_; }
+    auto journal() -> std::map<std::string, std::string> & { return journal_; }
+    auto countAppends() const -> int { return appends_; }
     auto countDone(const TaskRef &task) const -> int;
     auto countStarts(const TaskRef &task) const -> int;
     auto isRunning(const TaskRef &task) const -> bool;
@@ -131,7 +137,9 @@
     std::set<TaskRef>        everDone_;
     std::map<TaskRef, int>   startCounts_;
     std::vector<std::string> violations_;
+    int                      appends_ = 0;
     bool                     isStoreDown_ = false;
+    bool                     areAppendsLost_ = false;
     bool                     isViewStale_ = false; // The owner can't read workers' entries.
 };
 
--- a/tests/unit/test_journal.cpp
+++ b/tests/unit/test_journal.cpp
@@ -59,3 +59,78 @@
     cr_assert_eq(restored.jobs.size(), 1U);
     cr_assert_eq(restored.errors.size(), 2U);
 }
+
+namespace {
+
+// A job with tasks of two steps in several records, all with a run that has ended.
+auto makeLargeJob() -> Job
+{
+    auto job = makeJob();
+    job.spec.steps[0].count = 300;
+    job.spec.steps[1].count = 50;
+    job.occurrences[0] = makeOccurrence(job.spec);
+    job.occurrences[1] = makeOccurrence(job.spec);
+    forEachTask(job, [](const TaskRef &ref, JobTask &task) {
+        task.run = task.endedRun = ref.index + 1;
+        task.isDone = true;
+    });
+    return job;
+}
+
+} // namespace
+
+// Guards against a record beyond the store's limit, and rows that no record has.
+Test(journal, the_progress_of_a_large_job_is_split_and_restored)
+{
+    const auto job = makeLargeJob();
+    auto       records = std::vector<KeyedRecord>{encodeJob(job)};
+    const auto last = progressRecordOf(job.spec, {job.spec.id, 1, 1, 49});
+    cr_assert_eq(last, 699 / kTasksPerRecord);
+    for (std::int64_t number = 0; number <= last; ++number) {
+        records.push_back(encodeProgress(job, number));
+        cr_assert_leq(records.back().value.size(), 8'000U);
+    }
+    const auto restored = restoreJobs(records);
+    cr_assert(restored.errors.empty());
+    auto back = restored.jobs.at(job.spec.id);
+    cr_assert_not(back.isUnsplit);
+    auto count = 0;
+    forEachTask(back, [&](const TaskRef &ref, const JobTask &task) {
+        cr_assert(task.isDone);
+        cr_assert_eq(task.endedRun, ref.index + 1);
+        ++count;
+    });
+    cr_assert_eq(count, 700);
+}
+
+// Guards against rows that are lost at an upgrade: earlier versions wrote all rows into the first record.
+Test(journal, progress_that_one_record_has_is_marked_to_be_split)
+{
+    auto job = makeLargeJob();
+    auto small = job;
+    small.spec.steps[0].count = 3;
+    small.spec.steps[1].count = 1;
+    small.occurrences.clear();
+    small.occurrences[0] = makeOccurrence(small.spec);
+    small.occurrences[0].steps[0][2].run = 4;
+    auto record = encodeProgress(small); // Its rows fit into one record of the small job.
+    auto restored = restoreJobs({encodeJob(small), record});
+    cr_assert_not(restored.jobs.at(small.spec.id).isUnsplit);
+    small.spec.steps[0].count = 200;
+    small.occurrences[0] = makeOccurrence(small.spec);
+    small.occurrences[0].steps[0][150].run = 4;
+    const auto moved = encodeProgress(small, 1);
+    restored = restoreJobs({encodeJob(small), {"p" + small.spec.id, moved.value}});
+    cr_assert(restored.jobs.at(small.spec.id).isUnsplit);
+    cr_assert_eq(restored.jobs.at(small.spec.id).occurrences.at(0).steps[0][150].run, 4);
+}
+
+// Guards against an accepted job that can't be stored.
+Test(journal, a_job_too_large_for_a_record_is_refused)
+{
+    auto job = makeJob();
+    cr_assert(checkRecordSize(job.spec, 1'000).ok());
+    job.spec.steps.resize(200);
+    cr_assert_not(checkRecordSize(job.spec, 1'000).ok());
+    cr_assert(checkRecordSize(job.spec, 262'144).ok());
+}
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -409,6 +409,115 @@
     expectNoViolations(world);
 }
 
+//-----------------------------------------------------------------------------
+// Large jobs
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Workers with room for 500 tasks of one core each.
+auto makeLargeWorld(WorldFaults faults = {}) -> PoolWorld
+{
+    auto world = PoolWorld(1, faults, 4);
+    world.changeView([](FleetView &view) {
+        for (auto &[id, worker] : view.workers) {
+            worker.capacity = {500'000, 500'000, 0};
+        }
+    });
+    for (auto &[id, worker] : world.workers()) {
+        worker.report.capacity = {500'000, 500'000, 0};
+    }
+    return world;
+}
+
+} // namespace
+
+// Guards against a service that stands still: the progress of a large job was one record, and the store
+// refuses a record beyond its limit for ever. The world checks the length of each record and append.
+Test(pool, a_large_job_and_the_small_ones_beside_it_are_served)
+{
+    auto world = makeLargeWorld();
+    world.settings().maxRecordBytes = 65'536;
+    world.settings().maxAppendBytes = 65'536;
+    world.takeOver();
+    world.submit(makeJob("large", {makeStep(3'000, 2'000), after(makeStep(2'000, 500), {0})}));
+    world.run(3'000);
+    world.submit(makeJob("small", {makeStep(5, 300)}));
+    world.run(40'000);
+    cr_assert(world.owner().jobState("small") == JobState::Completed);
+    cr_assert(world.owner().jobState("large") == JobState::Completed);
+    expectNoViolations(world);
+}
+
+// Guards against progress that a new owner doesn't find in all of the job's records: its tasks would run twice
+// or be lost. Owners change and appends are lost while the job runs.
+Test(pool, a_large_job_is_served_through_takeovers_and_lost_appends)
+{
+    auto world = makeLargeWorld({.lostAppends = 20});
+    world.submit(makeJob("large", {makeStep(1'500, 1'000), after(makeStep(1'000, 300), {0})}));
+    for (auto round = 0; round < 8; ++round) {
+        world.run(700);
+        world.takeOver();
+    }
+    world.run(30'000);
+    cr_assert(world.owner().jobState("large") == JobState::Completed);
+    expectNoViolations(world);
+}
+
+// Guards against effects of a change that the journal has only in part: an owner that ends between two appends
+// of one batch must not have started, answered or acknowledged anything of it.
+Test(pool, a_batch_that_needs_several_appends_takes_effect_after_the_last)
+{
+    auto world = makeLargeWorld();
+    world.settings().maxAppendBytes = 2'000;
+    world.takeOver();
+    world.run(1'000);
+    const auto before = world.countAppends();
+    for (auto number = 0; number < 40; ++number) {
+        world.submit(makeJob(fmt::format("j{}", number), {makeStep(2, 300)}));
+    }
+    world.run(20);
+    cr_assert_geq(world.countAppends() - before, 1);
+    cr_assert(world.accepted().empty()); // Some of the records are stored.
+    world.takeOver();
+    world.run(5'000);
+    for (const auto &id : world.accepted()) {
+        cr_assert(world.owner().jobState(id) == JobState::Completed);
+    }
+    expectNoViolations(world);
+}
+
+// Guards against tasks that run twice after an upgrade: an earlier version kept all progress in one record. The
+// others are written before the first one loses their rows.
+Test(pool, progress_in_one_large_record_is_split_by_a_new_owner)
+{
+    auto job = Job{};
+    job.spec = makeJob("large", {makeStep(300, 5'000)});
+    job.occurrences[0] = makeOccurrence(job.spec);
+    job.occurrences[0].steps[0][290].run = 1;
+    job.isUnsplit = true;
+    const auto view = FleetView();
+    auto       owner = PoolScheduler({"pool", 1}, {}, view);
+    owner.restore({1'000, 0}, {{"large", job}});
+    owner.advance({1'100, 0});
+    auto keys = std::vector<std::string>();
+    for (const auto &action : owner.takeActions()) {
+        if (const auto *append = std::get_if<AppendJournal>(&action)) {
+            for (const auto &record : append->records) {
+                keys.push_back(record.key);
+            }
+        }
+    }
+    cr_assert(keys == std::vector<std::string>({"plarge/2", "plarge/1", "plarge"}));
+}
+
+// Guards against a record that a checkpoint makes too long. The task goes on from the one before.
+Test(pool, a_checkpoint_that_is_too_long_for_its_record_isnt_kept)
+{
+    cr_assert_eq(maxCheckpointBytes(262'144), 2'048U - 320U);
+    cr_assert_eq(maxCheckpointBytes(1'000), 0U);
+}
+
 //-----------------------------------------------------------------------------
 // Workers that restart under their id
 //-----------------------------------------------------------------------------
