--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -93,10 +93,6 @@
             return status;
         }
     }
-    if (taskCount(spec) > kMaxTasksPerJob) {
-        return badJob(
-            fmt::format("it has {} tasks, more than {}", taskCount(spec), kMaxTasksPerJob));
-    }
     if (spec.occurrences < 0 || spec.occurrences > kMaxOccurrences || !isAmount(spec.intervalMs)
         || spec.startAtMs < 0 || spec.startAtMs > kMaxWallMs) {
         return badJob("the schedule is out of range");
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -71,7 +71,8 @@
 };
 
 constexpr std::int64_t kMaxTasksPerStep = 10'000;
-constexpr std::int64_t kMaxTasksPerJob = 100'000; // Of one occurrence. A node keeps 10 MB for them.
+// Of one occurrence. Checked when a job is submitted: a node keeps 10 MB of memory for that many.
+constexpr std::int64_t kMaxTasksPerJob = 100'000;
 constexpr std::size_t  kMaxSteps = 256;
 constexpr std::int64_t kMaxOccurrences = 100'000;
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -143,6 +143,8 @@
         job.doneOccurrences = row.doneOccurrences;
     }
     for (const auto number : row.done) {
+        job.isUnsplit =
+            job.isUnsplit || progressRecordOf(job.spec, {job.spec.id, number, 0, 0}) != record;
         auto &occurrence = job.occurrences[number] = makeOccurrence(job.spec);
         for (auto &tasks : occurrence.steps) {
             for (auto &task : tasks) {
@@ -214,18 +216,21 @@
         std::max<std::int64_t>(0, maxRecordBytes / kTasksPerRecord - kMaxTaskRowBytes));
 }
 
-auto checkRecordSize(const JobSpec &spec, std::int64_t maxRecordBytes) -> absl::Status
+auto checkSize(const JobSpec &spec, std::int64_t maxRecordBytes) -> absl::Status
 {
+    const auto tooLarge = [](std::int64_t amount, std::string_view unit, std::int64_t most) {
+        return makeError(
+            absl::StatusCode::kInvalidArgument, "job.check", "caller",
+            fmt::format("the job has {} {}, and at most {} are possible", amount, unit, most));
+    };
+    if (taskCount(spec) > kMaxTasksPerJob) {
+        return tooLarge(taskCount(spec), "tasks", kMaxTasksPerJob);
+    }
     auto job = Job();
     job.spec = spec;
     const auto record = encodeJob(job);
     const auto bytes = std::ssize(record.key) + std::ssize(record.value) + 1;
-    if (bytes <= maxRecordBytes) {
-        return absl::OkStatus();
-    }
-    return makeError(
-        absl::StatusCode::kInvalidArgument, "job.check", "caller",
-        fmt::format("it takes {} bytes to store, more than {}", bytes, maxRecordBytes));
+    return bytes <= maxRecordBytes ? absl::OkStatus() : tooLarge(bytes, "bytes", maxRecordBytes);
 }
 
 auto restoreJobs(const std::vector<KeyedRecord> &records) -> RestoredJobs
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -161,7 +161,7 @@
     spec->queue = queue.name;
     spec->pool = queue.pool;
     spec->tenant = tenant == nullptr ? std::string() : tenant->name;
-    const auto size = checkRecordSize(*spec, settings_.pool.maxRecordBytes);
+    const auto size = checkSize(*spec, settings_.pool.maxRecordBytes);
     if (!size.ok()) {
         logEvent(LogLevel::Info, "job.invalid",
                  {{"job", id}, {"queue", queue.name}, {"error", size.ToString()}});
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -51,8 +51,8 @@
     std::string  queue; // Name of the queue that the call came on.
     JobSpec      spec;  // The job to submit. Empty for other verbs.
     PoolScope    scope = PoolScope::All;
-    std::int64_t version =
-        0; // Of the rules by which the pool was chosen. ReleaseQueue: the caller.
+    // Of the rules by which the pool was chosen. For ReleaseQueue, those of the pool that adopts it.
+    std::int64_t version = 0;
 };
 
 enum class PoolStatus {
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -1,7 +1,5 @@
 #include "pool/pool_internal.h"
 
-#include <ranges>
-
 namespace peridotwalk {
 
 namespace {
@@ -67,8 +65,7 @@
         batch.states[id] = jobs_.at(id).job.state;
     }
     for (const auto &[id, numbers] : changed_) {
-        // Backwards, as the first record of an earlier version may have rows of the others.
-        for (const auto number : numbers | std::views::reverse) {
+        for (const auto number : numbers) {
             batch.records.push_back(encodeProgress(jobs_.at(id).job, number));
         }
         batch.states[id] = jobs_.at(id).job.state;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -33,11 +33,11 @@
 PoolScheduler::~PoolScheduler() = default;
 
 auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous,
-                            QueueHomes homes) -> void
+                            const QueueHomes &homes) -> void
 {
     state_->previousHandover_ = std::move(previous);
-    for (auto &[queue, home] : homes) {
-        state_->homes_[queue] = {std::move(home), true};
+    for (const auto &[queue, home] : homes) {
+        state_->homes_[queue] = {home, true};
     }
     state_->restore(now, std::move(jobs));
 }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -270,50 +270,51 @@
     auto logRunEvent(std::string_view event, const TaskRef &task, std::int64_t run,
                      const std::string &worker, std::string detail) -> void;
 
-    PoolIdentity                                  identity_;
-    PoolSettings                                  settings_;
-    const FleetView                              &view_;
-    TimeMs                                        termUntil_ = 0;  // See setTerm().
-    TimeMs                                        ownedSince_ = 0; // Time of restore().
-    bool                                          isFenced_ = false;
-    bool                                          needsSchedule_ = false;
-    TimeMs                                        scheduleAt_ = 0; // Earliest time of a round.
-    std::int64_t                                  placementRounds_ = 0;
-    std::vector<ResourceSet>                      unplaceable_;      // Needs that fit nowhere now.
-    CapacityIndex                                 capacityIndex_;    // Empty between rounds.
-    int                                           explanations_ = 0; // Logged in this round.
-    std::int64_t                                  placed_ = 0;       // Tasks placed in this round.
-    std::int64_t                                  liveRuns_ = 0;     // On all workers.
-    TimeMs                                        tickedAt_ = 0;     // Last tick. 0: none yet.
-    bool                                          isOverloaded_ = false; // Ticks come late.
-    std::set<std::string>                         workersToTick_;        // Ticked by advance().
+    PoolIdentity                                 identity_;
+    PoolSettings                                 settings_;
+    const FleetView                             &view_;
+    TimeMs                                       termUntil_ = 0;  // See setTerm().
+    TimeMs                                       ownedSince_ = 0; // Time of restore().
+    bool                                         isFenced_ = false;
+    bool                                         needsSchedule_ = false;
+    TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
+    std::int64_t                                 placementRounds_ = 0;
+    std::vector<ResourceSet>                     unplaceable_;      // Needs that fit nowhere now.
+    CapacityIndex                                capacityIndex_;    // Empty between rounds.
+    int                                          explanations_ = 0; // Logged in this round.
+    std::int64_t                                 placed_ = 0;       // Tasks placed in this round.
+    std::int64_t                                 liveRuns_ = 0;     // On all workers.
+    TimeMs                                       tickedAt_ = 0;     // Last tick. 0: none yet.
+    bool                                         isOverloaded_ = false; // Ticks come late.
+    std::set<std::string>                        workersToTick_;        // Ticked by advance().
     // When the next occurrence is due, on the wall clock. 0: none is known.
-    std::int64_t                                  nextDueMs_ = 0;
-    std::map<std::string, JobEntry, std::less<>>  jobs_;          // By id.
-    std::set<std::string>                         active_;        // Ids of jobs that aren't over.
-    std::map<std::string, Worker, std::less<>>    workers_;       // By id.
-    std::map<std::string, ResourceSet>            tenantUsed_;    // Needs of placed tasks.
-    std::map<std::string, ResourceSet>            tenantWanted_;  // Needs of ready tasks that wait.
-    std::map<std::string, ResourceSet>            tenantCovered_; // Part that the allowance covers.
-    std::map<std::string, ResourceSet>            allowances_;    // By tenant. Missing: zero.
-    std::map<std::string, TimeMs>                 cordoned_;      // Start of the cordon, by worker.
+    std::int64_t                                 nextDueMs_ = 0;
+    std::map<std::string, JobEntry, std::less<>> jobs_;          // By id.
+    std::set<std::string>                        active_;        // Ids of jobs that aren't over.
+    std::map<std::string, Worker, std::less<>>   workers_;       // By id.
+    std::map<std::string, ResourceSet>           tenantUsed_;    // Needs of placed tasks.
+    std::map<std::string, ResourceSet>           tenantWanted_;  // Needs of ready tasks that wait.
+    std::map<std::string, ResourceSet>           tenantCovered_; // Part that the allowance covers.
+    std::map<std::string, ResourceSet>           allowances_;    // By tenant. Missing: zero.
+    std::map<std::string, TimeMs>                cordoned_;      // Start of the cordon, by worker.
     // Needs of tasks that lack only a worker, by how their jobs stand against their objectives.
-    ResourceSet                                   wanted_;          // On time, and unbounded ones.
-    ResourceSet                                   wantedLate_;      // Late, but still of use.
-    std::set<std::string>                         reservedWorkers_; // Kept for unbounded tasks.
-    // Progress to record: numbers of records, by job.
-    std::map<std::string, std::set<std::int64_t>> changed_;
-    std::set<std::string>                         submitted_;    // Jobs to record.
-    std::map<std::string, HomeEntry, std::less<>> homes_;        // By queue.
-    std::set<std::string>                         changedHomes_; // Queues whose homes to record.
-    std::vector<Effect>                           effects_;      // Effects of the next batch.
-    std::optional<Batch>                          batch_;        // Being appended. Nothing: none.
-    std::int64_t                                  sequence_ = 0; // Number of the last append.
-    std::optional<Handover>                       previousHandover_; // Nothing: none was written.
-    bool                                          isHandoverRemoved_ = false; // No longer stored.
-    HandoverStage                                 handover_ = HandoverStage::None;
-    TimeMs                                        flushedAt_ = 0; // Time of the last batch.
-    std::vector<PoolAction>                       actions_;
+    ResourceSet                                  wanted_;          // On time, and unbounded ones.
+    ResourceSet                                  wantedLate_;      // Late, but still of use.
+    std::set<std::string>                        reservedWorkers_; // Kept for unbounded tasks.
+    // Progress to record: numbers of records, by job. The first record is written last, as that of an earlier
+    // version may have rows of the others.
+    std::map<std::string, std::set<std::int64_t, std::greater<>>> changed_;
+    std::set<std::string>                                         submitted_; // Jobs to record.
+    std::map<std::string, HomeEntry, std::less<>>                 homes_;     // By queue.
+    std::set<std::string>   changedHomes_;              // Queues whose homes to record.
+    std::vector<Effect>     effects_;                   // Effects of the next batch.
+    std::optional<Batch>    batch_;                     // Being appended. Nothing: none.
+    std::int64_t            sequence_ = 0;              // Number of the last append.
+    std::optional<Handover> previousHandover_;          // Nothing: none was written.
+    bool                    isHandoverRemoved_ = false; // No longer stored.
+    HandoverStage           handover_ = HandoverStage::None;
+    TimeMs                  flushedAt_ = 0; // Time of the last batch.
+    std::vector<PoolAction> actions_;
 };
 
 // Returns the capacity that a task occupies on a worker. Fillers occupy no cpu: they use only what
