--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -170,18 +170,39 @@
         store.heldSince = store.generation;
     }
 
-    // Returns the answer to a call, or nothing within 500 ms.
-    auto call(const PoolCall &call) -> std::optional<PoolAnswer>
+    // Runs until the condition holds. Returns false if it doesn't within the limit, which no test needs in full
+    // unless it fails.
+    auto runUntil(const std::function<bool()> &condition, TimeMs limitMs = 20'000) -> bool
+    {
+        for (const auto until = bootMs() + limitMs; !condition() && bootMs() < until;) {
+            run(10);
+        }
+        return condition();
+    }
+
+    // Waits until the pool has a scheduler under this token.
+    auto awaitOwner(std::int64_t token, const std::string &pool = "pool") -> bool
+    {
+        return runUntil([&] {
+            const auto found = pools.pools().find(pool);
+            return found != pools.pools().end() && found->second->identity().token == token
+                && found->second->isReady() && !found->second->isFenced();
+        });
+    }
+
+    // Returns the answer to a call, or nothing within the limit.
+    auto call(const PoolCall &call, TimeMs limitMs = 20'000) -> std::optional<PoolAnswer>
     {
         const auto answered = std::make_shared<std::optional<PoolAnswer>>();
-        router.route(call, bootMs() + 400,
+        router.route(call, bootMs() + 2'000,
                      [answered](const PoolAnswer &answer) { *answered = answer; });
-        run(500);
+        runUntil([&] { return answered->has_value(); }, limitMs);
         return *answered;
     }
 
     // As a caller of the queue, by the current rules.
-    auto callQueue(PoolVerb verb, const std::string &id) -> std::optional<PoolAnswer>
+    auto callQueue(PoolVerb verb, const std::string &id, TimeMs limitMs = 20'000)
+        -> std::optional<PoolAnswer>
     {
         const auto &pool = store.rules.queues.front().pool;
         auto        spec = JobSpec{};
@@ -189,7 +210,7 @@
         spec.queue = "queue";
         spec.pool = pool;
         spec.steps.emplace_back();
-        return call({verb, pool, id, "queue", spec, PoolScope::All, store.rules.version});
+        return call({verb, pool, id, "queue", spec, PoolScope::All, store.rules.version}, limitMs);
     }
 
     auto submit(const std::string &id) -> std::optional<PoolStatus>
@@ -201,7 +222,8 @@
     auto moveQueue(const std::string &pool) -> void
     {
         store.rules = FakeStore::makeRules(store.rules.version + 1, pool);
-        run(300);
+        cr_assert(
+            runUntil([&] { return directory.view().catalog.version() == store.rules.version; }));
     }
 
     auto holds(const std::string &pool, const std::string &id) -> bool
@@ -292,9 +314,9 @@
 Test(node, a_pool_that_was_reassigned_and_returned_gets_a_scheduler_under_a_new_token)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.reassignToAnotherAndBack();
-    node.run(600);
+    cr_assert(node.awaitOwner(7));
     cr_assert_eq(node.store.fences.back().epoch, 7);
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_eq(node.store.appends.back().epoch, 7);
@@ -305,7 +327,7 @@
 Test(node, a_pool_keeps_its_scheduler_when_the_group_changes_more_than_once)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.store.generation = 8;
     node.run(1'200);
     cr_assert_eq(node.store.fences.size(), 1U);
@@ -317,13 +339,13 @@
 Test(node, an_interruption_is_found_once_the_store_answers)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.store.areChecksLost = true;
     node.reassignToAnotherAndBack();
     node.run(1'000);
     cr_assert_eq(node.pools.pools().at("pool")->identity().token, 5);
     node.store.areChecksLost = false;
-    node.run(1'000);
+    cr_assert(node.awaitOwner(7));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_eq(node.store.appends.back().epoch, 7);
 }
@@ -332,13 +354,13 @@
 Test(node, a_reassignment_during_lost_renewals_gives_a_new_token)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.store.areRenewalsLost = true;
     node.run(600);
     node.reassignToAnotherAndBack();
     node.run(300);
     node.store.areRenewalsLost = false;
-    node.run(600);
+    cr_assert(node.awaitOwner(7));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_eq(node.store.appends.back().epoch, 7);
 }
@@ -347,10 +369,10 @@
 Test(node, a_lost_append_doesnt_keep_a_returned_pool_without_a_scheduler)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.store.areAppendsLost = true;
     node.reassignToAnotherAndBack();
-    node.run(1'100);
+    cr_assert(node.awaitOwner(7));
     node.store.areAppendsLost = false;
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_eq(node.store.appends.back().epoch, 7);
@@ -361,11 +383,11 @@
 Test(node, reassignments_in_a_row_leave_one_scheduler_under_the_last_token)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     node.reassignToAnotherAndBack();
     node.run(455);
     node.reassignToAnotherAndBack();
-    node.run(1'100);
+    cr_assert(node.awaitOwner(9));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_eq(node.store.appends.back().epoch, 9);
     cr_assert_eq(node.pools.pools().size(), 1U);
@@ -409,7 +431,7 @@
 Test(node, a_job_is_found_and_cancelled_after_its_queue_has_moved)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     node.moveQueue("other");
     cr_assert(node.submit("a") == PoolStatus::Ok);
@@ -428,7 +450,7 @@
 Test(node, a_queue_that_moves_on_and_back_keeps_all_its_jobs_through_a_takeover)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     node.moveQueue("other");
     cr_assert(node.submit("b") == PoolStatus::Ok);
@@ -436,7 +458,9 @@
     cr_assert(node.submit("c") == PoolStatus::Ok);
     node.moveQueue("pool");
     node.reassignToAnotherAndBack();
-    node.run(1'000);
+    for (const auto *pool : {"pool", "other", "third"}) {
+        cr_assert(node.awaitOwner(7, pool));
+    }
     for (const auto *id : {"a", "b", "c"}) {
         cr_assert(node.submit(id) == PoolStatus::Ok);
         cr_assert(node.callQueue(PoolVerb::Query, id)->status == PoolStatus::Ok);
@@ -449,16 +473,15 @@
 Test(node, a_pool_without_a_queue_is_taken_over_while_it_has_jobs)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     node.moveQueue("other");
     node.reassignToAnotherAndBack();
-    node.run(1'000);
+    cr_assert(node.awaitOwner(7));
     cr_assert(node.holds("pool", "a"));
     cr_assert_not(node.pools.pools().at("pool")->isDormant());
     cr_assert(node.callQueue(PoolVerb::Cancel, "a")->status == PoolStatus::Ok);
-    node.run(100);
-    cr_assert(node.pools.pools().at("pool")->isDormant());
+    cr_assert(node.runUntil([&] { return node.pools.pools().at("pool")->isDormant(); }));
 }
 
 // Guards against two pools that accept the same submission while the record of the move has no answer: calls
@@ -466,18 +489,17 @@
 Test(node, no_job_counts_as_missing_before_the_move_of_its_queue_is_recorded)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     node.moveQueue("other");
     node.store.areAppendsLost = true;
     for (const auto verb : {PoolVerb::Query, PoolVerb::Submit, PoolVerb::Cancel}) {
-        const auto answer = node.callQueue(verb, "a");
+        const auto answer = node.callQueue(verb, "a", 500);
         cr_assert(!answer || answer->status == PoolStatus::Refused
                   || answer->status == PoolStatus::NotOwner
                   || answer->status == PoolStatus::Unknown);
     }
     node.store.areAppendsLost = false;
-    node.run(700);
     cr_assert(node.callQueue(PoolVerb::Query, "a")->status == PoolStatus::Ok);
     cr_assert(node.submit("a") == PoolStatus::Ok);
     cr_assert_not(node.holds("other", "a"));
@@ -487,7 +509,7 @@
 Test(node, a_pool_releases_a_queue_to_newer_rules_only)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     cr_assert(node.submit("a") == PoolStatus::Ok);
     node.moveQueue("other");
     cr_assert(node.submit("b") == PoolStatus::Ok);
@@ -505,7 +527,7 @@
 Test(node, a_caller_with_newer_rules_than_the_owner_waits_for_it)
 {
     auto node = NodeFixture();
-    node.run(200);
+    cr_assert(node.awaitOwner(5));
     auto call = PoolCall{PoolVerb::Query, "pool", "a", "moved", {}, PoolScope::All, 2};
     cr_assert(node.call(call)->status == PoolStatus::NotOwner);
     call.version = 1;
