--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -32,6 +32,17 @@
     return "other";
 }
 
+auto logOutcome(std::string_view event, const std::string &job, const PoolAnswer &answer,
+                std::int64_t version, TimeMs arrivedAt) -> void
+{
+    logEvent(LogLevel::Info, event,
+             {{"job", job},
+              {"outcome", static_cast<int>(answer.status)},
+              {"reason", answer.reason},
+              {"version", version},
+              {"took_ms", bootMs() - arrivedAt}});
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -174,12 +185,7 @@
         {PoolVerb::Submit, queue.pool, id, queue.name, *std::move(spec), PoolScope::All, version},
         deadlineOf(call),
         [this, exchange = request.id, id, version, arrivedAt](const PoolAnswer &answer) {
-            logEvent(LogLevel::Info, "job.submitted",
-                     {{"job", id},
-                      {"outcome", static_cast<int>(answer.status)},
-                      {"reason", answer.reason},
-                      {"version", version},
-                      {"took_ms", bootMs() - arrivedAt}});
+            logOutcome("job.submitted", id, answer, version, arrivedAt);
             switch (answer.status) {
             case PoolStatus::Ok:
                 this->answer(exchange, kOk, "{}");
@@ -198,9 +204,14 @@
                                 const QueueRule &queue, PoolVerb verb, const std::string &id)
     -> void
 {
+    const auto version = directory_.view().catalog.version();
+    const auto arrivedAt = bootMs();
     router_.route(
-        {verb, queue.pool, id, queue.name, {}, PoolScope::All, directory_.view().catalog.version()},
-        deadlineOf(call), [this, exchange = request.id, verb](const PoolAnswer &answer) {
+        {verb, queue.pool, id, queue.name, {}, PoolScope::All, version}, deadlineOf(call),
+        [this, exchange = request.id, verb, id, version, arrivedAt](const PoolAnswer &answer) {
+            if (verb == PoolVerb::Cancel) {
+                logOutcome("job.cancelled", id, answer, version, arrivedAt);
+            }
             if (answer.status == PoolStatus::Missing) {
                 refuse(exchange, kGone, "there is no such job");
             } else if (answer.status != PoolStatus::Ok) {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -253,6 +253,7 @@
         -> void;
     auto finishAdoption(const std::string &queue) -> void;
     auto release(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto answerMissing(const PoolCall &call, const PoolAnswerSlot &slot) -> void;
     auto addPending(PoolAnswerSlot slot) -> std::int64_t; // Returns its handle.
     auto fence() -> void;
     auto readJournal() -> void;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -27,6 +27,23 @@
     return PoolStatus::Refused;
 }
 
+auto verbName(PoolVerb verb) -> std::string_view
+{
+    switch (verb) {
+    case PoolVerb::Submit:
+        return "submit";
+    case PoolVerb::Cancel:
+        return "cancel";
+    case PoolVerb::Query:
+        return "query";
+    case PoolVerb::CountPending:
+        return "count_pending";
+    case PoolVerb::ReleaseQueue:
+        break;
+    }
+    return "release_queue";
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -174,7 +191,7 @@
             return;
         }
         if (call.verb == PoolVerb::Submit && !isHeld) {
-            slot({PoolStatus::Missing});
+            answerMissing(call, slot);
             return;
         }
     } else if (!isHeld) {
@@ -193,22 +210,38 @@
     }
     if (call.verb == PoolVerb::Query) {
         const auto state = scheduler_->jobState(call.job);
-        slot(state ? PoolAnswer{PoolStatus::Ok, *state} : PoolAnswer{PoolStatus::Missing});
+        if (state) {
+            slot({PoolStatus::Ok, *state});
+        } else {
+            answerMissing(call, slot);
+        }
         return;
     }
     if (call.verb == PoolVerb::CountPending) {
         slot({PoolStatus::Ok, JobState::Queued, scheduler_->countPending(call.queue)});
         return;
     }
-    const auto handle = addPending(std::move(slot));
     if (call.verb == PoolVerb::Submit) {
-        scheduler_->submit(readMoment(), handle, call.spec);
+        scheduler_->submit(readMoment(), addPending(std::move(slot)), call.spec);
+    } else if (isHeld) {
+        scheduler_->cancel(readMoment(), addPending(std::move(slot)), call.job);
     } else {
-        scheduler_->cancel(readMoment(), handle, call.job);
+        answerMissing(call, slot);
     }
     run();
 }
 
+auto PoolTask::answerMissing(const PoolCall &call, const PoolAnswerSlot &slot) -> void
+{
+    logEvent(LogLevel::Info, "job.missing",
+             {{"job", call.job},
+              {"call", verbName(call.verb)},
+              {"pool", identity_.pool},
+              {"token", identity_.token},
+              {"term_left_ms", termUntil_ - bootMs()}});
+    slot({PoolStatus::Missing});
+}
+
 auto PoolTask::addPending(PoolAnswerSlot slot) -> std::int64_t
 {
     pendingCalls_[++lastHandle_] = std::move(slot);
