Tests: a replaced owner, or one out of its term, says that there is no such job (UNASKED, red)

All four fail on this code (run one by one): Cancel and Query are answered as Missing, which callers get as 410, and a submission is let in beside an earlier home that may hold it.

--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -32,7 +32,7 @@
             loop_.post([slot] { slot(CallOutcome::Unknown); }, 300);
             return;
         }
-        const auto isFenced = writer.epoch < fencedBelow;
+        const auto isFenced = writer.epoch < fencedBelow || replacedPools.contains(writer.pool);
         for (const auto &record : records) {
             if (!isFenced) {
                 journal[writer.partition][record.key] = record.value;
@@ -127,14 +127,15 @@
         return rules;
     }
 
-    CatalogRules rules = makeRules(1, "pool");
-    std::int64_t generation = 5;
-    std::int64_t fencedBelow = 0; // Appends with a lower epoch are refused.
-    bool         areAppendsLost = false;
-    bool         areRenewalsLost = false;
-    bool         areChecksLost = false;
-    int          checks = 0;
-    std::int64_t heldSince = 0; // Generation since which this node holds all partitions.
+    CatalogRules          rules = makeRules(1, "pool");
+    std::int64_t          generation = 5;
+    std::int64_t          fencedBelow = 0; // Appends with a lower epoch are refused.
+    std::set<std::string> replacedPools;   // Pools that another node has fenced.
+    bool                  areAppendsLost = false;
+    bool                  areRenewalsLost = false;
+    bool                  areChecksLost = false;
+    int                   checks = 0;
+    std::int64_t          heldSince = 0; // Generation since which this node holds all partitions.
     std::vector<JournalWriter> fences;
     std::vector<JournalWriter> appends;
     bool                       hasLeft = false;
@@ -533,3 +534,65 @@
     call.version = 1;
     cr_assert(node.call(call)->status == PoolStatus::Refused);
 }
+
+// Guards against an acknowledged cancelling that stops nothing: the successor's jobs aren't known to a replaced owner.
+Test(node, a_replaced_owner_says_of_no_job_that_it_doesnt_exist)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert(node.callQueue(PoolVerb::Cancel, "b")->status == PoolStatus::Missing);
+    node.store.replacedPools = {"pool"};
+    for (const auto verb : {PoolVerb::Cancel, PoolVerb::Query}) {
+        const auto answer = node.callQueue(verb, "b");
+        cr_assert(answer.has_value());
+        cr_assert(answer->status == PoolStatus::NotOwner || answer->status == PoolStatus::Unknown);
+    }
+}
+
+// Guards against the same where the owner lost the store or stood still, so that its term has ended.
+Test(node, an_owner_out_of_its_term_tells_only_what_cant_change)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    cr_assert(node.callQueue(PoolVerb::Cancel, "b")->status == PoolStatus::Ok);
+    node.store.areRenewalsLost = true;
+    cr_assert(node.runUntil([&] { return bootMs() >= node.ownership.ownership().termUntil(); }));
+    cr_assert(node.callQueue(PoolVerb::Cancel, "c")->status == PoolStatus::NotOwner);
+    cr_assert(node.callQueue(PoolVerb::Query, "c")->status == PoolStatus::NotOwner);
+    cr_assert(node.callQueue(PoolVerb::Query, "a")->status == PoolStatus::NotOwner);
+    cr_assert(node.callQueue(PoolVerb::CountPending, "")->status == PoolStatus::NotOwner);
+    cr_assert(node.callQueue(PoolVerb::Query, "b")->state == JobState::Cancelled);
+    cr_assert(node.callQueue(PoolVerb::Cancel, "b")->status == PoolStatus::Ok);
+}
+
+// Guards against the same where the queue has moved, and the replaced owner is that of its earlier home.
+Test(node, a_replaced_earlier_home_lets_no_submission_in_twice)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    node.store.replacedPools = {"pool"};
+    cr_assert(node.submit("c") != PoolStatus::Ok);
+    cr_assert_not(node.holds("other", "c"));
+}
+
+// Guards against the same where the replaced owner is that of the home, and the earlier homes are asked by its list.
+Test(node, a_replaced_home_says_of_no_job_that_it_doesnt_exist)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.submit("b") == PoolStatus::Ok);
+    node.store.replacedPools = {"other"};
+    for (const auto verb : {PoolVerb::Cancel, PoolVerb::Query}) {
+        const auto answer = node.callQueue(verb, "c");
+        cr_assert(answer.has_value());
+        cr_assert(answer->status == PoolStatus::NotOwner || answer->status == PoolStatus::Unknown);
+    }
+}
