--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -253,7 +253,10 @@
         -> void;
     auto finishAdoption(const std::string &queue) -> void;
     auto release(const PoolCall &call, PoolAnswerSlot slot) -> void;
-    auto answerMissing(const PoolCall &call, const PoolAnswerSlot &slot) -> void;
+    auto answerIfSettled(const PoolCall &call, const PoolAnswerSlot &slot) const -> bool;
+    auto confirmMissing(const PoolCall &call, PoolAnswerSlot slot) -> void;
+    auto logMissing(const PoolCall &call) const -> void;
+    auto failPendingCalls() -> void;
     auto addPending(PoolAnswerSlot slot) -> std::int64_t; // Returns its handle.
     auto fence() -> void;
     auto readJournal() -> void;
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -67,7 +67,12 @@
             slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool moved to another node", 0});
         }
     }
-    for (const auto &[handle, slot] : pendingCalls_) {
+    failPendingCalls();
+}
+
+auto PoolTask::failPendingCalls() -> void
+{
+    for (const auto &[handle, slot] : std::exchange(pendingCalls_, {})) {
         slot({PoolStatus::Unknown, JobState::Queued, 0, "the pool moved to another node", 0});
     }
 }
@@ -176,22 +181,25 @@
 
 auto PoolTask::handle(const PoolCall &call, PoolAnswerSlot slot) -> void
 {
+    if (answerIfSettled(call, slot)) {
+        return;
+    }
     if (!scheduler_ || isFenced() || isLeaving_) {
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool is being taken over", 0});
         return;
     }
+    if (bootMs() >= termUntil_) {
+        slot({PoolStatus::NotOwner, JobState::Queued, 0, "the owner is out of its term", 0});
+        return;
+    }
     if (call.verb == PoolVerb::ReleaseQueue) {
         release(call, std::move(slot));
         return;
     }
     const auto isHeld = !call.job.empty() && scheduler_->holdsJob(call.job);
     if (call.scope == PoolScope::Held) {
-        if (bootMs() >= termUntil_) {
-            slot({PoolStatus::NotOwner, JobState::Queued, 0, "the owner is out of its term", 0});
-            return;
-        }
         if (call.verb == PoolVerb::Submit && !isHeld) {
-            answerMissing(call, slot);
+            confirmMissing(call, std::move(slot));
             return;
         }
     } else if (!isHeld) {
@@ -213,7 +221,7 @@
         if (state) {
             slot({PoolStatus::Ok, *state});
         } else {
-            answerMissing(call, slot);
+            confirmMissing(call, std::move(slot));
         }
         return;
     }
@@ -223,15 +231,51 @@
     }
     if (call.verb == PoolVerb::Submit) {
         scheduler_->submit(readMoment(), addPending(std::move(slot)), call.spec);
-    } else if (isHeld) {
-        scheduler_->cancel(readMoment(), addPending(std::move(slot)), call.job);
     } else {
-        answerMissing(call, slot);
+        const auto handle =
+            addPending([this, alive = isAlive_, call, slot](const PoolAnswer &answer) {
+                if (*alive && answer.status == PoolStatus::Missing) {
+                    logMissing(call);
+                }
+                slot(answer);
+            });
+        scheduler_->cancel(readMoment(), handle, call.job);
     }
     run();
 }
 
-auto PoolTask::answerMissing(const PoolCall &call, const PoolAnswerSlot &slot) -> void
+// That a job is recorded and how it ended never changes, so an owner that may have been replaced tells it too.
+auto PoolTask::answerIfSettled(const PoolCall &call, const PoolAnswerSlot &slot) const -> bool
+{
+    const auto state =
+        scheduler_ && !call.job.empty() ? scheduler_->jobState(call.job) : std::nullopt;
+    const auto isSettled =
+        state && (call.verb == PoolVerb::Submit || *state >= JobState::Completed);
+    if (isSettled) {
+        slot({PoolStatus::Ok, *state});
+    }
+    return isSettled;
+}
+
+// Says that there is no such job once it is certain that no newer owner had accepted it before this call.
+auto PoolTask::confirmMissing(const PoolCall &call, PoolAnswerSlot slot) -> void
+{
+    const auto handle = addPending(
+        [this, alive = isAlive_, call, slot = std::move(slot)](const PoolAnswer &answer) {
+            if (!*alive || answer.status != PoolStatus::Ok) {
+                slot(answer);
+            } else if (scheduler_->holdsJob(call.job)) {
+                this->handle(call, slot);
+            } else {
+                logMissing(call);
+                slot({PoolStatus::Missing});
+            }
+        });
+    scheduler_->confirmOwnership(readMoment(), handle);
+    run();
+}
+
+auto PoolTask::logMissing(const PoolCall &call) const -> void
 {
     logEvent(LogLevel::Info, "job.missing",
              {{"job", call.job},
@@ -239,7 +283,6 @@
               {"pool", identity_.pool},
               {"token", identity_.token},
               {"term_left_ms", termUntil_ - bootMs()}});
-    slot({PoolStatus::Missing});
 }
 
 auto PoolTask::addPending(PoolAnswerSlot slot) -> std::int64_t
@@ -380,6 +423,9 @@
     if (!scheduler_) {
         return;
     }
+    if (isFenced()) {
+        failPendingCalls();
+    }
     if (isDormant()) {
         run(); // Appends what is due. Its workers aren't asked.
         return;
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -147,13 +147,11 @@
         route(call, routed->deadline, [this, routed, homes](const PoolAnswer &answer) {
             onEarlierHome(routed, homes, answer);
         });
-    } else if (routed->call.verb == PoolVerb::Submit) {
-        routed->call.scope = PoolScope::New;
-        attempt(routed);
     } else if (routed->call.verb == PoolVerb::CountPending) {
         routed->slot({PoolStatus::Ok, JobState::Queued, homes->count});
     } else {
-        routed->slot({PoolStatus::Missing});
+        routed->call.scope = PoolScope::New;
+        attempt(routed);
     }
 }
 
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -121,9 +121,7 @@
         }
         return;
     }
-    if (isStalled(now) || now.steadyMs >= termUntil_) {
-        actions_.push_back(AnswerCaller{handle, JobVerdict::Refused,
-                                        "the journal can't be written now", kStalledRetryMs});
+    if (refuseUnrecorded(now, handle)) {
         return;
     }
     const auto id = spec.id;
@@ -141,7 +139,7 @@
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        actions_.push_back(AnswerCaller{handle, JobVerdict::Missing});
+        confirmOwnership(now, handle, JobVerdict::Missing);
         return;
     }
     auto &entry = found->second;
@@ -155,6 +153,26 @@
     afterAppend(AnswerEffect{handle, JobVerdict::Cancelled});
 }
 
+auto PoolScheduler::State::confirmOwnership(Moment now, std::int64_t handle, JobVerdict verdict)
+    -> void
+{
+    if (!refuseUnrecorded(now, handle)) {
+        isConfirmationDue_ = true;
+        afterAppend(AnswerEffect{handle, verdict});
+    }
+}
+
+// Refuses a call that needs a record soon while none can be written.
+auto PoolScheduler::State::refuseUnrecorded(Moment now, std::int64_t handle) -> bool
+{
+    const auto isRefused = isStalled(now) || now.steadyMs >= termUntil_;
+    if (isRefused) {
+        actions_.push_back(AnswerCaller{handle, JobVerdict::Refused,
+                                        "the journal can't be written now", kStalledRetryMs});
+    }
+    return isRefused;
+}
+
 auto PoolScheduler::State::finishJob(Moment now, JobEntry &entry, JobState state) -> void
 {
     const auto &id = entry.job.spec.id;
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -84,6 +84,11 @@
     } else if (isRemovalDue) {
         batch.records.push_back(encodeHandoverRemoval(identity_.pool));
     }
+    if (std::exchange(isConfirmationDue_, false) && batch.records.empty()) {
+        // Any append tells whether this still is the owner. This one changes nothing: the handover record has been
+        // removed with the owner's first batch.
+        batch.records.push_back(encodeHandoverRemoval(identity_.pool));
+    }
     submitted_.clear();
     changed_.clear();
     batch.effects = std::exchange(effects_, {});
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -79,6 +79,11 @@
     state_->afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
 }
 
+auto PoolScheduler::confirmOwnership(Moment now, std::int64_t handle) -> void
+{
+    state_->confirmOwnership(now, handle, JobVerdict::Accepted);
+}
+
 auto PoolScheduler::onViewChanged(Moment now) -> void
 {
     state_->onViewChanged(now);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -104,7 +104,7 @@
     std::vector<KeyedRecord> records;
 };
 struct AnswerCaller {
-    std::int64_t handle = 0; // As passed to submit(), cancel(), adoptQueue() or releaseQueue().
+    std::int64_t handle = 0; // As passed to submit(), cancel() or another command with a handle.
     JobVerdict   verdict = JobVerdict::Refused;
     std::string  reason = {};      // Why the job was refused. Empty otherwise.
     TimeMs       retryAfterMs = 0; // When the caller may submit a refused job again.
@@ -161,12 +161,15 @@
                  const QueueHomes &homes = {}) -> void;
     auto beginHandover(Moment now) -> void; // Stops deciding and appends the handover record.
     auto setTerm(TimeMs untilMs) -> void;   // End of ownership, steady clock. Nothing starts later.
-    // submit() to releaseQueue() are answered by an AnswerCaller action with the same handle.
+    // submit() to confirmOwnership() are answered by an AnswerCaller action with the same handle.
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
     // Makes this pool the home of a queue, once all other pools have released it, and ends that.
     auto adoptQueue(std::int64_t handle, const std::string &queue, QueueHome home) -> void;
     auto releaseQueue(std::int64_t handle, const std::string &queue) -> void;
+    // Accepted once the journal has taken an append that was begun after this call, so that no newer owner had
+    // accepted a job before it. Refused at once while the journal can't be written.
+    auto confirmOwnership(Moment now, std::int64_t handle) -> void;
     auto onViewChanged(Moment now) -> void; // After each change of the fleet view.
     // onAppended() to onHoldReply(): results of actions.
     auto onAppended(Moment now, std::int64_t sequence, CallOutcome outcome) -> void;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -199,6 +199,8 @@
     auto restore(Moment now, JobTable &&jobs) -> void;
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
+    auto confirmOwnership(Moment now, std::int64_t handle, JobVerdict verdict) -> void;
+    auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool; // Whether it had to refuse.
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
                 const std::string &checkpoint) -> void;
     auto finishJob(Moment now, JobEntry &entry, JobState state) -> void;
@@ -311,6 +313,7 @@
     std::optional<Batch>    batch_;                     // Being appended. Nothing: none.
     std::int64_t            sequence_ = 0;              // Number of the last append.
     std::optional<Handover> previousHandover_;          // Nothing: none was written.
+    bool                    isConfirmationDue_ = false; // The next batch needs an append.
     bool                    isHandoverRemoved_ = false; // No longer stored.
     HandoverStage           handover_ = HandoverStage::None;
     TimeMs                  flushedAt_ = 0; // Time of the last batch.
