--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -47,6 +47,7 @@
     PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
     PERIDOTWALK_WIRE(Handover, v.expiresInMs)
     PERIDOTWALK_WIRE(QueueHome, v.earlierPools)
+    PERIDOTWALK_WIRE(EarlyCancel, v.atMs)
     PERIDOTWALK_WIRE(ProgressRow, v.state, v.doneOccurrences, v.done, v.tasks)
 
     } // namespace adaptor
@@ -57,12 +58,13 @@
 
 namespace {
 
-// First character of a record's key. The id of the job follows, the pool's name for a handover, or the
-// names of pool and queue for a queue's home.
+// First character of a record's key. The id of the job follows, the pool's name for a handover, the names of
+// pool and queue for a queue's home, or the pool's name and the job's id for an early cancel.
 constexpr char kSpecPrefix = 'j';
 constexpr char kProgressPrefix = 'p';
 constexpr char kHandoverPrefix = 'h';
 constexpr char kQueueHomePrefix = 'q';
+constexpr char kEarlyCancelPrefix = 'c';
 
 auto isInitial(const JobTask &task) -> bool
 {
@@ -119,9 +121,29 @@
     return {key.substr(0, slash), number};
 }
 
-auto queueHomePrefix(const std::string &pool) -> std::string
+// Returns the start of the keys of a pool's records of one kind. A name follows.
+auto poolPrefix(char kind, const std::string &pool) -> std::string
 {
-    return kQueueHomePrefix + pool + '/';
+    return kind + pool + '/';
+}
+
+// Returns a pool's records of one kind, by the names in their keys. Records that can't be read are left out.
+template <typename Value>
+auto findOfPool(char kind, const std::string &pool, const std::vector<KeyedRecord> &records)
+    -> std::map<std::string, Value, std::less<>>
+{
+    auto       found = std::map<std::string, Value, std::less<>>();
+    const auto prefix = poolPrefix(kind, pool);
+    for (const auto &record : records) {
+        if (!record.key.starts_with(prefix) || record.value.empty()) {
+            continue;
+        }
+        auto value = unpackWire<Value>("journal.restore", record.key, record.value);
+        if (value.ok()) {
+            found[record.key.substr(prefix.size())] = *std::move(value);
+        }
+    }
+    return found;
 }
 
 auto hasNoLiveRun(const Occurrence &occurrence) -> bool
@@ -306,28 +328,38 @@
 auto encodeQueueHome(const std::string &pool, const std::string &queue, const QueueHome &home)
     -> KeyedRecord
 {
-    return {queueHomePrefix(pool) + queue, packWire(home)};
+    return {poolPrefix(kQueueHomePrefix, pool) + queue, packWire(home)};
 }
 
 auto encodeQueueHomeRemoval(const std::string &pool, const std::string &queue) -> KeyedRecord
 {
-    return {queueHomePrefix(pool) + queue, ""};
+    return {poolPrefix(kQueueHomePrefix, pool) + queue, ""};
 }
 
 auto findQueueHomes(const std::string &pool, const std::vector<KeyedRecord> &records) -> QueueHomes
 {
-    auto       homes = QueueHomes();
-    const auto prefix = queueHomePrefix(pool);
-    for (const auto &record : records) {
-        if (!record.key.starts_with(prefix) || record.value.empty()) {
-            continue;
-        }
-        auto home = unpackWire<QueueHome>("journal.queue_home", record.key, record.value);
-        if (home.ok()) {
-            homes[record.key.substr(prefix.size())] = *std::move(home);
-        }
-    }
-    return homes;
+    return findOfPool<QueueHome>(kQueueHomePrefix, pool, records);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Early cancels
+//-----------------------------------------------------------------------------
+
+auto encodeEarlyCancel(const std::string &pool, const std::string &job, EarlyCancel cancel)
+    -> KeyedRecord
+{
+    return {poolPrefix(kEarlyCancelPrefix, pool) + job, packWire(cancel)};
+}
+
+auto encodeEarlyCancelRemoval(const std::string &pool, const std::string &job) -> KeyedRecord
+{
+    return {poolPrefix(kEarlyCancelPrefix, pool) + job, ""};
+}
+
+auto findEarlyCancels(const std::string &pool, const std::vector<KeyedRecord> &records)
+    -> EarlyCancels
+{
+    return findOfPool<EarlyCancel>(kEarlyCancelPrefix, pool, records);
 }
 
 } // namespace peridotwalk
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -86,4 +86,21 @@
 // then settles the queue anew.
 auto findQueueHomes(const std::string &pool, const std::vector<KeyedRecord> &records) -> QueueHomes;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Early cancels
+//-----------------------------------------------------------------------------
+
+// Written when a caller cancels a job that the pool doesn't have: its submission may still be on its way, and
+// isn't to run once it arrives.
+struct EarlyCancel {
+    std::int64_t atMs = 0; // On the wall clock.
+};
+using EarlyCancels = std::map<std::string, EarlyCancel, std::less<>>; // By job.
+
+auto encodeEarlyCancel(const std::string &pool, const std::string &job, EarlyCancel cancel)
+    -> KeyedRecord;
+auto encodeEarlyCancelRemoval(const std::string &pool, const std::string &job) -> KeyedRecord;
+auto findEarlyCancels(const std::string &pool, const std::vector<KeyedRecord> &records)
+    -> EarlyCancels; // Without those that can't be read.
+
 } // namespace peridotwalk
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -140,9 +140,9 @@
     }
     scheduler_ = std::make_unique<PoolScheduler>(identity_, settings_.pool, view_);
     scheduler_->setTerm(termUntil_);
-    scheduler_->restore(readMoment(), std::move(restored.jobs),
-                        findHandover(identity_.pool, records),
-                        findQueueHomes(identity_.pool, records));
+    scheduler_->restore(
+        readMoment(), std::move(restored.jobs), findHandover(identity_.pool, records),
+        findQueueHomes(identity_.pool, records), findEarlyCancels(identity_.pool, records));
     run();
 }
 
@@ -198,7 +198,8 @@
     }
     const auto isHeld = !call.job.empty() && scheduler_->holdsJob(call.job);
     if (call.scope == PoolScope::Held) {
-        if (call.verb == PoolVerb::Submit && !isHeld) {
+        const auto isAboutJob = call.verb != PoolVerb::CountPending;
+        if (isAboutJob && !isHeld) {
             confirmMissing(call, std::move(slot));
             return;
         }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr TimeMs kStalledRetryMs = 1'000; // Outages of the store last seconds.
+constexpr TimeMs       kStalledRetryMs = 1'000; // Outages of the store last seconds.
+// Copies of a submission arrive seconds after its caller gave up at most.
+constexpr std::int64_t kEarlyCancelKeptMs = 120'000;
 
 auto countFailures(const std::vector<JobTask> &tasks) -> std::int64_t
 {
@@ -133,13 +135,16 @@
     afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
     logRunEvent("job.accepted", {id, 0, 0, 0}, 0, "", describe(entry.job.spec));
     needsSchedule_ = true;
+    if (earlyCancels_.contains(id)) {
+        finishJob(now, entry, JobState::Cancelled);
+    }
 }
 
 auto PoolScheduler::State::cancel(Moment now, std::int64_t handle, std::string_view id) -> void
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        confirmOwnership(now, handle, JobVerdict::Missing);
+        cancelEarly(now, handle, id);
         return;
     }
     auto &entry = found->second;
@@ -153,12 +158,31 @@
     afterAppend(AnswerEffect{handle, JobVerdict::Cancelled});
 }
 
-auto PoolScheduler::State::confirmOwnership(Moment now, std::int64_t handle, JobVerdict verdict)
-    -> void
+// Cancels a job whose submission may still be on its way. The record also shows that this still is the owner,
+// and so that no newer one had accepted the job before this call.
+auto PoolScheduler::State::cancelEarly(Moment now, std::int64_t handle, std::string_view id) -> void
+{
+    if (refuseUnrecorded(now, handle)) {
+        return;
+    }
+    std::erase_if(earlyCancels_, [&](const auto &item) {
+        const auto isExpired = now.wallMs - item.second.atMs > kEarlyCancelKeptMs;
+        if (isExpired) {
+            changedCancels_.insert(item.first);
+        }
+        return isExpired;
+    });
+    const auto job = std::string(id);
+    earlyCancels_[job] = {now.wallMs};
+    changedCancels_.insert(job);
+    afterAppend(AnswerEffect{handle, JobVerdict::Missing});
+}
+
+auto PoolScheduler::State::confirmOwnership(Moment now, std::int64_t handle) -> void
 {
     if (!refuseUnrecorded(now, handle)) {
         isConfirmationDue_ = true;
-        afterAppend(AnswerEffect{handle, verdict});
+        afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
     }
 }
 
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -74,6 +74,12 @@
         batch.records.push_back(recordHome(queue));
     }
     batch.homes = std::exchange(changedHomes_, {});
+    for (const auto &job : std::exchange(changedCancels_, {})) {
+        const auto cancel = earlyCancels_.find(job);
+        batch.records.push_back(cancel == earlyCancels_.end()
+                                    ? encodeEarlyCancelRemoval(identity_.pool, job)
+                                    : encodeEarlyCancel(identity_.pool, job, cancel->second));
+    }
     if (isHandoverDue) {
         handover_ = HandoverStage::Writing;
         auto record = encodeHandover(identity_.pool, makeHandover(now));
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -33,8 +33,9 @@
 PoolScheduler::~PoolScheduler() = default;
 
 auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous,
-                            const QueueHomes &homes) -> void
+                            const QueueHomes &homes, EarlyCancels cancels) -> void
 {
+    state_->earlyCancels_ = std::move(cancels);
     state_->previousHandover_ = std::move(previous);
     for (const auto &[queue, home] : homes) {
         state_->homes_[queue] = {home, true};
@@ -81,7 +82,7 @@
 
 auto PoolScheduler::confirmOwnership(Moment now, std::int64_t handle) -> void
 {
-    state_->confirmOwnership(now, handle, JobVerdict::Accepted);
+    state_->confirmOwnership(now, handle);
 }
 
 auto PoolScheduler::onViewChanged(Moment now) -> void
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -199,7 +199,8 @@
     auto restore(Moment now, JobTable &&jobs) -> void;
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
     auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
-    auto confirmOwnership(Moment now, std::int64_t handle, JobVerdict verdict) -> void;
+    auto cancelEarly(Moment now, std::int64_t handle, std::string_view id) -> void;
+    auto confirmOwnership(Moment now, std::int64_t handle) -> void;
     auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool; // Whether it had to refuse.
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
                 const std::string &checkpoint) -> void;
@@ -309,6 +310,8 @@
     std::set<std::string>                                         submitted_; // Jobs to record.
     std::map<std::string, HomeEntry, std::less<>>                 homes_;     // By queue.
     std::set<std::string>   changedHomes_;              // Queues whose homes to record.
+    EarlyCancels            earlyCancels_;              // Of jobs that this pool hasn't had.
+    std::set<std::string>   changedCancels_;            // Jobs whose early cancels to record.
     std::vector<Effect>     effects_;                   // Effects of the next batch.
     std::optional<Batch>    batch_;                     // Being appended. Nothing: none.
     std::int64_t            sequence_ = 0;              // Number of the last append.
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -88,7 +88,8 @@
     }
     owner_ = std::make_unique<PoolScheduler>(PoolIdentity{"pool", epoch_}, settings_, view_);
     owner_->setTerm(now_.steadyMs + kTermMs);
-    owner_->restore(now_, std::move(restored.jobs), findHandover("pool", records));
+    owner_->restore(now_, std::move(restored.jobs), findHandover("pool", records),
+                    findQueueHomes("pool", records), findEarlyCancels("pool", records));
     handles_.clear();
 }
 
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -140,6 +140,42 @@
     expectNoViolations(world);
 }
 
+// Guards against a start after an acknowledged cancelling that overtook the job's submission.
+Test(pool, a_job_that_was_cancelled_before_it_arrived_never_starts)
+{
+    for (const auto isTakenOver : {false, true}) {
+        auto world = PoolWorld(1, {}, 2);
+        world.cancel("a");
+        world.run(100);
+        if (isTakenOver) {
+            world.takeOver();
+        }
+        world.submit(makeJob("a", {makeStep(1, 500)}));
+        world.run(3'000);
+        cr_assert(world.accepted().contains("a"));
+        cr_assert_eq(world.countStarts({"a", 0, 0, 0}), 0);
+        cr_assert(world.owner().jobState("a") == JobState::Cancelled);
+        cr_assert_eq(world.owner().countPending("queue"), 0);
+    }
+}
+
+// Guards against records of cancellings that stay in the journal for good.
+Test(pool, a_cancelling_of_an_unknown_job_is_forgotten_in_time)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.cancel("a");
+    world.run(130'000);
+    world.cancel("b");
+    world.run(100);
+    auto records = std::vector<KeyedRecord>();
+    for (const auto &[key, value] : world.journal()) {
+        records.push_back({key, value});
+    }
+    const auto cancels = findEarlyCancels(world.owner().identity().pool, records);
+    cr_assert_eq(cancels.size(), 1U);
+    cr_assert(cancels.contains("b"));
+}
+
 Test(pool, a_cancelled_job_stops_and_stays_cancelled_after_a_takeover)
 {
     auto world = PoolWorld(1, {}, 3);
