--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -71,10 +71,11 @@
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1000)
 
-    async def start(self, address_of):
-        """`address_of` takes the worker's port and returns the address to register, for example a proxy's."""
+    async def start(self, address_of=None):
+        """`address_of` takes the worker's port and returns the address to register, for example a proxy's. By default
+        the worker's own address is registered."""
         self.server, self.port = await serve(self.handle)
-        self.address = await address_of(self.port)
+        self.address = await address_of(self.port) if address_of else f"127.0.0.1:{self.port}"
         self.tasks = [asyncio.ensure_future(self.send_heartbeats()), asyncio.ensure_future(self.end_due_runs())]
 
     async def send_heartbeats(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,8 +50,8 @@
 class Node:
     """One node process, with its own proxy to the store."""
 
-    def __init__(self, number, program, folder, store_port):
-        self.name = f"node-{number}"
+    def __init__(self, number, program, folder, store_port, zone="zone-a"):
+        self.name, self.zone = f"node-{number}", zone
         self.program, self.folder = program, folder
         self.store = Proxy(store_port)
         self.callers, self.ready, self.peers = free_port(), free_port(), free_port()
@@ -63,7 +63,7 @@
             await self.store.start()
         settings = {
             "name": self.name,
-            "zone": "zone-a",
+            "zone": self.zone,
             "listen": {"callers": f"127.0.0.1:{self.callers}", "ready": f"127.0.0.1:{self.ready}", "peers": f"127.0.0.1:{self.peers}"},
             "store": {"address": f"127.0.0.1:{self.store.port}"},
         }
@@ -117,6 +117,9 @@
         for _ in range(self.options.workers):
             await self.add_worker()
         self.nodes = [Node(number, self.options.program, self.folder, store_port) for number in range(self.options.nodes)]
+        await self.start_nodes()
+
+    async def start_nodes(self):
         for node in self.nodes:
             await node.start()
         for _ in range(READY_S * 10):
