--- a/tests/soak/cancels.py
+++ b/tests/soak/cancels.py
@@ -292,7 +292,7 @@
     unasked = sum("UNASKED" in text for text in violations)
     print(f"cancels: scenario={options.scenario} seed={options.seed} nodes={len(cancels.nodes)} "
           f"answers={dict(cancels.statuses)} unasked={unasked} other={len(violations) - unasked}")
-    return 1 if unasked or not cancels.ledger.cancelled else 0
+    return 1 if violations or not cancels.ledger.cancelled else 0
 
 
 if __name__ == "__main__":
