--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -12,6 +12,7 @@
 constexpr TimeMs kCallMs = 3;             // Duration of a call.
 constexpr TimeMs kAnswerTimeoutMs = 700;  // When an unanswered call fails.
 constexpr TimeMs kEntryRemovalMs = 4'500; // From a worker's crash to the removal of its entry.
+constexpr TimeMs kRouteRetryMs = 100;     // When a call that found no owner is sent again.
 constexpr TimeMs kTermMs = 2'300;         // The owner's term, extended at each step.
 
 auto text(const TaskRef &task) -> std::string
@@ -90,15 +91,30 @@
     owner_->setTerm(now_.steadyMs + kTermMs);
     owner_->restore(now_, std::move(restored.jobs), findHandover("pool", records));
     handles_.clear();
+    cancels_.clear();
+    checkCancelled();
+}
+
+// An acknowledged cancelling of a job that the owner had is in the journal, for each later owner.
+auto PoolWorld::checkCancelled() -> void
+{
+    for (const auto &id : recordedCancels_) {
+        const auto state = owner_->jobState(id);
+        if (!state || *state < JobState::Completed) {
+            addViolation("its cancelling is lost: " + id);
+        }
+    }
 }
 
 auto PoolWorld::startHandover() -> void
 {
+    isLeaving_ = true;
     owner_->beginHandover(now_);
     drain();
     for (auto round = 0; round < 100 && !owner_->isHandoverDone(); ++round) {
         step();
     }
+    isLeaving_ = false;
     takeOver();
 }
 
@@ -116,9 +132,21 @@
     drain();
 }
 
+auto PoolWorld::submitLater(JobSpec spec, TimeMs delay) -> void
+{
+    runLater(delay, [this, spec = std::move(spec)] {
+        if (isLeaving_) {
+            submitLater(spec, kRouteRetryMs);
+        } else {
+            submit(spec);
+        }
+    });
+}
+
 auto PoolWorld::cancel(const std::string &id) -> void
 {
     handles_[++lastHandle_] = "";
+    cancels_[lastHandle_] = id;
     owner_->cancel(now_, lastHandle_, id);
     drain();
 }
@@ -276,6 +304,11 @@
     if (end == RunEnd::Done) {
         ++done_[run.task];
         everDone_.insert(run.task);
+        // One such end of a gang stands for all of its members.
+        const auto &step = specs_.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
+        for (std::int64_t index = 0; step.isGang && index < step.count; ++index) {
+            everDone_.insert({run.task.job, run.task.occurrence, run.task.step, index});
+        }
     }
     if (end == RunEnd::Failed) {
         ++failed_[run.task];
@@ -436,10 +469,24 @@
     if (found != handles_.end() && action.verdict == JobVerdict::Accepted) {
         accepted_.insert(found->second);
     }
+    const auto cancel = cancels_.find(action.handle);
+    if (cancel == cancels_.end()) {
+        return;
+    }
+    if (action.verdict == JobVerdict::Cancelled) {
+        recordedCancels_.insert(cancel->second);
+    }
+    if (action.verdict == JobVerdict::Cancelled || action.verdict == JobVerdict::Missing) {
+        cancelled_.insert(cancel->second);
+    }
+    cancels_.erase(cancel);
 }
 
 auto PoolWorld::perform(const SendStart &action) -> void
 {
+    if (cancelled_.contains(action.order.task.job)) {
+        addViolation("sent after its cancelling: " + text(action.order.task));
+    }
     const auto epoch = epoch_;
     auto      &worker = workers_.at(action.worker.id);
     if (worker.isIsolated) {
@@ -516,6 +563,15 @@
     return found == startCounts_.end() ? 0 : found->second;
 }
 
+auto PoolWorld::countStarts(const std::string &job) const -> int
+{
+    auto starts = 0;
+    for (const auto &[task, count] : startCounts_) {
+        starts += task.job == job ? count : 0;
+    }
+    return starts;
+}
+
 auto PoolWorld::isRunning(const TaskRef &task) const -> bool
 {
     return !findWorker(task).empty();
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -54,6 +54,8 @@
 
     // Commands.
     auto submit(JobSpec spec) -> void;
+    // A copy of a submission that arrives later, at the owner of that moment.
+    auto submitLater(JobSpec spec, TimeMs delay) -> void;
     auto cancel(const std::string &id) -> void;
     // Its entry is removed 4.5 s later; it doesn't come back.
     auto crash(const std::string &worker) -> void;
@@ -77,10 +79,13 @@
     auto now() const -> Moment { return now_; }
     auto violations() const -> const std::vector<std::string> & { return violations_; }
     auto accepted() const -> const std::set<std::string> & { return accepted_; }
+    // Jobs whose cancelling was acknowledged.
+    auto cancelled() const -> const std::set<std::string> & { return cancelled_; }
     auto journal() -> std::map<std::string, std::string> & { return journal_; }
     auto countAppends() const -> int { return appends_; }
     auto countDone(const TaskRef &task) const -> int;
     auto countStarts(const TaskRef &task) const -> int;
+    auto countStarts(const std::string &job) const -> int; // Of all its tasks.
     auto isRunning(const TaskRef &task) const -> bool;
     auto findWorker(const TaskRef &task) const -> std::string; // Empty: no worker runs it.
 
@@ -92,6 +97,7 @@
     auto countUp() const -> std::ptrdiff_t;
     auto chooseUp() -> std::string; // A random worker that is up.
     auto drain() -> void;
+    auto checkCancelled() -> void;
     auto runLater(TimeMs delay, std::function<void()> action) -> void;
     auto chance(int percent) -> bool
     {
@@ -129,8 +135,11 @@
     std::unique_ptr<PoolScheduler>               owner_;
     std::multimap<TimeMs, std::function<void()>> events_;
     std::map<std::int64_t, std::string>          handles_;
+    std::map<std::int64_t, std::string>          cancels_; // Jobs of unanswered cancels, by handle.
     std::int64_t                                 lastHandle_ = 0;
     std::set<std::string>                        accepted_;
+    std::set<std::string>                        cancelled_;
+    std::set<std::string>                        recordedCancels_; // Those of known jobs.
     std::map<std::string, JobSpec>               specs_;
     std::map<TaskRef, int>   done_;   // Done runs whose end an owner has read or can still read.
     std::map<TaskRef, int>   failed_; // The same for failed runs.
@@ -138,6 +147,7 @@
     std::map<TaskRef, int>   startCounts_;
     std::vector<std::string> violations_;
     int                      appends_ = 0;
+    bool                     isLeaving_ = false; // The owner hands over, and gets no calls.
     bool                     isStoreDown_ = false;
     bool                     areAppendsLost_ = false;
     bool                     isViewStale_ = false; // The owner can't read workers' entries.
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -683,16 +683,109 @@
     }
 }
 
-auto playSeeds(WorldFaults faults) -> void
+// Returns a random job: timed or lasting steps, gangs, occurrences that are due later, and with `mayBeWide` steps
+// whose progress is several records.
+auto makeAnyJob(pcg32 &random, std::string id, std::int64_t nowMs, bool mayBeWide) -> JobSpec
+{
+    const auto draw = [&](TimeMs first, TimeMs last) {
+        return std::uniform_int_distribution<TimeMs>(first, last)(random);
+    };
+    auto steps = std::vector<StepSpec>();
+    for (auto step = draw(1, 3); step > 0; --step) {
+        steps.push_back(makeStep(draw(1, 6), draw(100, 2'500)));
+        steps.back().isGang = draw(1, 5) == 1;
+        if (steps.size() > 1) {
+            steps.back().after = {std::ssize(steps) - 2};
+        }
+    }
+    if (draw(1, 5) == 1) {
+        steps.resize(1);
+        steps.back().isUnbounded = true;
+        steps.back().isGang = false;
+    } else if (mayBeWide && draw(1, 4) == 1) {
+        steps.front() = makeStep(draw(kTasksPerRecord, 3 * kTasksPerRecord), draw(50, 200));
+    }
+    auto job = makeJob(std::move(id), std::move(steps));
+    if (draw(1, 4) == 1) {
+        job.occurrences = draw(2, 5);
+        job.startAtMs = nowMs + draw(0, 3'000);
+        job.intervalMs = draw(300, 3'000);
+    }
+    return job;
+}
+
+enum class Arrival { First, Copied };
+
+// Submits jobs and cancels them at random moments while faults are injected and owners hand over. Copied: copies
+// of a submission arrive seconds after it was accepted.
+auto playCancels(std::uint64_t seed, WorldFaults faults, Arrival arrival) -> void
+{
+    auto       random = pcg32(seed);
+    const auto draw = [&](TimeMs first, TimeMs last) {
+        return std::uniform_int_distribution<TimeMs>(first, last)(random);
+    };
+    auto       world = PoolWorld(seed, faults, 6);
+    // So that a batch needs several appends.
+    const auto mayBeWide = draw(1, 2) == 1;
+    world.settings().maxAppendBytes = mayBeWide ? 8'000 : 1'000;
+    world.takeOver();
+    auto jobs = std::vector<std::string>();
+    for (auto round = 0; round < 150; ++round) {
+        if (round < 120 && draw(1, 8) == 1) {
+            jobs.push_back(fmt::format("job{}", jobs.size()));
+            const auto spec = makeAnyJob(random, jobs.back(), world.now().wallMs, mayBeWide);
+            world.submit(spec);
+            if (arrival != Arrival::First && draw(1, 2) == 1) {
+                world.submitLater(spec, draw(10, 6'000));
+            }
+        }
+        if (!jobs.empty() && draw(1, 6) == 1) {
+            // Often one of the last, which has just been placed.
+            const auto  among = std::min<TimeMs>(std::ssize(jobs), draw(1, 2) == 1 ? 1 : 8);
+            const auto &job = jobs[jobs.size() - static_cast<std::size_t>(draw(1, among))];
+            if (world.accepted().contains(job)) {
+                world.cancel(job);
+            }
+        }
+        if (draw(1, 30) == 1) {
+            world.startHandover();
+        }
+        world.run(draw(1, 10) == 1 ? draw(500, 2'000) : draw(1, 20) * 10);
+    }
+    world.run(20'000);
+    for (const auto &what : world.violations()) {
+        cr_log_error("seed %lu: %s", static_cast<unsigned long>(seed), what.c_str());
+    }
+    cr_expect(world.violations().empty());
+    for (const auto &job : world.cancelled()) {
+        for (auto &[id, worker] : world.workers()) {
+            cr_expect(std::ranges::none_of(worker.running,
+                                           [&](const auto &run) { return run.task.job == job; }),
+                      "seed %lu: %s still runs", static_cast<unsigned long>(seed), job.c_str());
+        }
+    }
+}
+
+auto playSeeds(const std::function<void(std::uint64_t)> &play) -> void
 {
     const auto *chosen = std::getenv("PERIDOTWALK_SEED");
     const auto  first = chosen == nullptr ? 1 : std::atoi(chosen);
     const auto  last = chosen == nullptr ? kSeeds : first;
     for (auto seed = first; seed <= last; ++seed) {
-        playSchedule(static_cast<std::uint64_t>(seed), faults);
+        play(static_cast<std::uint64_t>(seed));
     }
 }
 
+auto playSeeds(WorldFaults faults) -> void
+{
+    playSeeds([&](std::uint64_t seed) { playSchedule(seed, faults); });
+}
+
+auto playCancelSeeds(WorldFaults faults, Arrival arrival) -> void
+{
+    playSeeds([&](std::uint64_t seed) { playCancels(seed, faults, arrival); });
+}
+
 } // namespace
 
 Test(pool_schedules, lost_answers_and_late_orders)
@@ -714,3 +807,33 @@
 {
     playSeeds({.lostAppends = 5, .takeovers = 1, .restarts = 2, .cuts = 2});
 }
+
+// Guards against starts after an acknowledged cancelling.
+Test(pool_schedules, cancelled_jobs_dont_start_while_owners_change)
+{
+    playCancelSeeds({.lostAnswers = 5, .lateOrders = 50, .lostAppends = 20, .takeovers = 5},
+                    Arrival::First);
+}
+
+Test(pool_schedules, cancelled_jobs_dont_start_while_workers_crash)
+{
+    playCancelSeeds(
+        {.lostAnswers = 10, .lateOrders = 50, .lostAppends = 10, .crashes = 1, .takeovers = 3},
+        Arrival::First);
+}
+
+Test(pool_schedules, cancelled_jobs_dont_start_while_workers_restart_and_fail)
+{
+    playCancelSeeds({.lostAnswers = 5,
+                     .lostAppends = 10,
+                     .failingRuns = 10,
+                     .takeovers = 3,
+                     .restarts = 2,
+                     .cuts = 2},
+                    Arrival::First);
+}
+
+Test(pool_schedules, copies_of_a_submission_dont_start_a_cancelled_job)
+{
+    playCancelSeeds({.lostAnswers = 5, .lostAppends = 20, .takeovers = 5}, Arrival::Copied);
+}
