--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -231,6 +231,16 @@
         return pools.pools().at(pool)->scheduler()->holdsJob(id);
     }
 
+    // Whether a pool has the job and hasn't ended it.
+    auto isToRun(const std::string &id) -> bool
+    {
+        return std::ranges::any_of(pools.pools(), [&](const auto &item) {
+            auto      *scheduler = item.second->scheduler();
+            const auto state = scheduler == nullptr ? std::nullopt : scheduler->jobState(id);
+            return state && *state < JobState::Completed;
+        });
+    }
+
     // Makes one member the owner of every partition.
     auto assignAll(const std::string &member) -> void
     {
@@ -533,3 +543,30 @@
     call.version = 1;
     cr_assert(node.call(call)->status == PoolStatus::Refused);
 }
+
+// Guards against a submission that starts after its cancelling, which overtook it while its queue had an earlier home.
+Test(node, a_cancelling_that_overtook_its_submission_counts_where_the_queue_has_moved)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.moveQueue("other");
+    cr_assert(node.callQueue(PoolVerb::Cancel, "b")->status == PoolStatus::Missing);
+    cr_assert(node.submit("b").has_value());
+    cr_assert_not(node.isToRun("b"));
+}
+
+// Guards against the same where the queue moves between the two calls. An earlier pool with no job of the queue isn't
+// asked any more.
+Test(node, a_cancelling_that_overtook_its_submission_counts_after_the_queue_has_moved)
+{
+    for (const auto hasJobs : {true, false}) {
+        auto node = NodeFixture();
+        cr_assert(node.awaitOwner(5));
+        cr_assert(!hasJobs || node.submit("a") == PoolStatus::Ok);
+        cr_assert(node.callQueue(PoolVerb::Cancel, "b")->status == PoolStatus::Missing);
+        node.moveQueue("other");
+        cr_assert(node.submit("b").has_value());
+        cr_expect_not(node.isToRun("b"), "the earlier pool has jobs: %d", hasJobs);
+    }
+}
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -140,6 +140,28 @@
     expectNoViolations(world);
 }
 
+// Guards against a start after an acknowledged cancelling that overtook the submission: each moment at which the
+// owner ends leaves other records, as each is an append of its own.
+Test(pool, a_job_cancelled_before_it_arrived_starts_nothing_whenever_its_owner_ends)
+{
+    for (auto steps = 0; steps <= 8; ++steps) {
+        auto world = PoolWorld(1, {}, 2);
+        world.settings().maxAppendBytes = 300;
+        world.takeOver();
+        world.run(1'000);
+        world.cancel("a");
+        world.run(200);
+        cr_assert(world.cancelled().contains("a"));
+        auto job = makeJob("a", {makeStep(1, 500)});
+        job.payload = std::string(200, 'x');
+        world.submit(job);
+        world.run(10 * steps);
+        world.takeOver();
+        world.run(3'000);
+        cr_expect_eq(world.countStarts("a"), 0, "after %d steps", steps);
+    }
+}
+
 Test(pool, a_cancelled_job_stops_and_stays_cancelled_after_a_takeover)
 {
     auto world = PoolWorld(1, {}, 3);
@@ -714,10 +736,10 @@
     return job;
 }
 
-enum class Arrival { First, Copied };
+enum class Arrival { First, Copied, Overtaken };
 
 // Submits jobs and cancels them at random moments while faults are injected and owners hand over. Copied: copies
-// of a submission arrive seconds after it was accepted.
+// of a submission arrive seconds after it was accepted. Overtaken: cancels may also arrive before their job.
 auto playCancels(std::uint64_t seed, WorldFaults faults, Arrival arrival) -> void
 {
     auto       random = pcg32(seed);
@@ -734,7 +756,11 @@
         if (round < 120 && draw(1, 8) == 1) {
             jobs.push_back(fmt::format("job{}", jobs.size()));
             const auto spec = makeAnyJob(random, jobs.back(), world.now().wallMs, mayBeWide);
-            world.submit(spec);
+            if (arrival == Arrival::Overtaken && draw(1, 3) == 1) {
+                world.submitLater(spec, draw(10, 4'000));
+            } else {
+                world.submit(spec);
+            }
             if (arrival != Arrival::First && draw(1, 2) == 1) {
                 world.submitLater(spec, draw(10, 6'000));
             }
@@ -743,7 +769,7 @@
             // Often one of the last, which has just been placed.
             const auto  among = std::min<TimeMs>(std::ssize(jobs), draw(1, 2) == 1 ? 1 : 8);
             const auto &job = jobs[jobs.size() - static_cast<std::size_t>(draw(1, among))];
-            if (world.accepted().contains(job)) {
+            if (arrival == Arrival::Overtaken || world.accepted().contains(job)) {
                 world.cancel(job);
             }
         }
@@ -837,3 +863,9 @@
 {
     playCancelSeeds({.lostAnswers = 5, .lostAppends = 20, .takeovers = 5}, Arrival::Copied);
 }
+
+// Guards against a submission that is accepted after its cancelling, which found no such job.
+Test(pool_schedules, a_submission_that_its_cancelling_overtook_starts_nothing)
+{
+    playCancelSeeds({.lostAnswers = 5, .lostAppends = 20, .takeovers = 5}, Arrival::Overtaken);
+}
