--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -610,6 +610,29 @@
     }
 }
 
+// Guards against the same where the owner ends without a handover: the lease that it gave after the restart is longer
+// than those that its successor assumes.
+Test(pool, a_worker_that_restarted_before_its_owner_ended_runs_its_tasks_alone)
+{
+    auto world = PoolWorld(1, {}, 2);
+    addLabel(world, "w0");
+    world.run(4'000);
+    world.submit(makeJob("short", {makeStep(8, 200)}));
+    world.run(300);
+    world.restart("w0", 10);
+    world.run(20);
+    world.submit(makeLabelledJob());
+    world.run(300);
+    cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+    addLabel(world, "w1");
+    world.takeOver();
+    world.run(50);
+    world.isolate("w0");
+    world.run(14'000);
+    cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+    expectNoViolations(world);
+}
+
 // Guards against work that waits for the lease of a worker that never got it: a start that was sent to a
 // worker that had ended while it was idle could only be taken back by a stop, which nobody answered.
 Test(pool, nothing_is_started_on_an_idle_worker_that_doesnt_answer)
