--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -74,6 +74,12 @@
         batch.records.push_back(recordHome(queue));
     }
     batch.homes = std::exchange(changedHomes_, {});
+    for (const auto &job : std::exchange(changedCancels_, {})) {
+        const auto cancel = earlyCancels_.find(job);
+        batch.records.push_back(cancel == earlyCancels_.end()
+                                    ? encodeEarlyCancelRemoval(identity_.pool, job)
+                                    : encodeEarlyCancel(identity_.pool, job, cancel->second));
+    }
     if (isHandoverDue) {
         handover_ = HandoverStage::Writing;
         auto record = encodeHandover(identity_.pool, makeHandover(now));
@@ -84,6 +90,11 @@
     } else if (isRemovalDue) {
         batch.records.push_back(encodeHandoverRemoval(identity_.pool));
     }
+    if (std::exchange(isConfirmationDue_, false) && batch.records.empty()) {
+        // Any append tells whether this still is the owner. This one changes nothing: the handover record has been
+        // removed with the owner's first batch.
+        batch.records.push_back(encodeHandoverRemoval(identity_.pool));
+    }
     submitted_.clear();
     changed_.clear();
     batch.effects = std::exchange(effects_, {});
