Test of an early cancel: the job and its end are always in two appends

The limit of an append let both records into one, so that the owner never ended between them. It is now the size of the job's record.

--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -144,17 +144,22 @@
 // owner ends leaves other records, as each is an append of its own.
 Test(pool, a_job_cancelled_before_it_arrived_starts_nothing_whenever_its_owner_ends)
 {
+    constexpr std::int64_t kRecordOverhead = 8;
     for (auto steps = 0; steps <= 8; ++steps) {
-        auto world = PoolWorld(1, {}, 2);
-        world.settings().maxAppendBytes = 300;
+        auto       world = PoolWorld(1, {}, 2);
+        const auto spec = makeJob("a", {makeStep(1, 500)});
+        auto       job = Job();
+        job.spec = spec;
+        job.acceptedAtMs = world.now().wallMs;
+        const auto record = encodeJob(job);
+        world.settings().maxAppendBytes =
+            std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
         world.takeOver();
         world.run(1'000);
         world.cancel("a");
         world.run(200);
         cr_assert(world.cancelled().contains("a"));
-        auto job = makeJob("a", {makeStep(1, 500)});
-        job.payload = std::string(200, 'x');
-        world.submit(job);
+        world.submit(spec);
         world.run(10 * steps);
         world.takeOver();
         world.run(3'000);
