Tests of cancels: owners end between the appends of a cancelling's batch

An acknowledgement after the first of several appends went unnoticed by the schedules. A test now writes a cancelling and another job in two appends and ends the owner at each moment, and the schedules end one owner in four within 50 ms of a cancel.

--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -44,6 +44,17 @@
     });
 }
 
+// Returns what the record of an accepted job takes of an append's limit.
+auto appendedBytes(const JobSpec &spec, std::int64_t acceptedAtMs) -> std::int64_t
+{
+    constexpr std::int64_t kRecordOverhead = 8;
+    auto                   job = Job();
+    job.spec = spec;
+    job.acceptedAtMs = acceptedAtMs;
+    const auto record = encodeJob(job);
+    return std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
+}
+
 auto firstTask(const std::string &job) -> TaskRef
 {
     return {job, 0, 0, 0};
@@ -144,16 +155,10 @@
 // owner ends leaves other records, as each is an append of its own.
 Test(pool, a_job_cancelled_before_it_arrived_starts_nothing_whenever_its_owner_ends)
 {
-    constexpr std::int64_t kRecordOverhead = 8;
     for (auto steps = 0; steps <= 8; ++steps) {
         auto       world = PoolWorld(1, {}, 2);
         const auto spec = makeJob("a", {makeStep(1, 500)});
-        auto       job = Job();
-        job.spec = spec;
-        job.acceptedAtMs = world.now().wallMs;
-        const auto record = encodeJob(job);
-        world.settings().maxAppendBytes =
-            std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
+        world.settings().maxAppendBytes = appendedBytes(spec, world.now().wallMs);
         world.takeOver();
         world.run(1'000);
         world.cancel("a");
@@ -167,6 +172,26 @@
     }
 }
 
+// Guards against a cancelling that is acknowledged before the last append of its batch.
+Test(pool, a_cancelling_that_is_written_with_other_records_isnt_lost_whenever_the_owner_ends)
+{
+    for (auto steps = 0; steps <= 8; ++steps) {
+        auto       world = PoolWorld(1, {}, 2);
+        const auto other = makeJob("b", {makeStep(1, 500)});
+        world.settings().maxAppendBytes = appendedBytes(other, world.now().wallMs);
+        world.takeOver();
+        world.submit(makeJob("a", {makeStep(1, 30'000)}));
+        world.run(1'000);
+        cr_assert(world.isRunning(firstTask("a")));
+        world.cancel("a");
+        world.submit(other);
+        world.run(10 * steps);
+        world.takeOver();
+        world.run(3'000);
+        expectNoViolations(world);
+    }
+}
+
 // Guards against a start after an acknowledged cancelling that overtook the job's submission.
 Test(pool, a_job_that_was_cancelled_before_it_arrived_never_starts)
 {
@@ -836,6 +861,11 @@
             if (arrival == Arrival::Overtaken || world.accepted().contains(job)) {
                 world.cancel(job);
             }
+            // Between the appends of the batch that has the cancelling.
+            if (draw(1, 4) == 1) {
+                world.run(draw(1, 5) * 10);
+                world.takeOver();
+            }
         }
         if (draw(1, 30) == 1) {
             world.startHandover();
