--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -44,6 +44,17 @@
     });
 }
 
+// Returns what the record of an accepted job takes of an append's limit.
+auto appendedBytes(const JobSpec &spec, std::int64_t acceptedAtMs) -> std::int64_t
+{
+    constexpr std::int64_t kRecordOverhead = 8;
+    auto                   job = Job();
+    job.spec = spec;
+    job.acceptedAtMs = acceptedAtMs;
+    const auto record = encodeJob(job);
+    return std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
+}
+
 auto firstTask(const std::string &job) -> TaskRef
 {
     return {job, 0, 0, 0};
@@ -140,6 +151,47 @@
     expectNoViolations(world);
 }
 
+// Guards against a start after an acknowledged cancelling that overtook the submission: each moment at which the
+// owner ends leaves other records, as each is an append of its own.
+Test(pool, a_job_cancelled_before_it_arrived_starts_nothing_whenever_its_owner_ends)
+{
+    for (auto steps = 0; steps <= 8; ++steps) {
+        auto       world = PoolWorld(1, {}, 2);
+        const auto spec = makeJob("a", {makeStep(1, 500)});
+        world.settings().maxAppendBytes = appendedBytes(spec, world.now().wallMs);
+        world.takeOver();
+        world.run(1'000);
+        world.cancel("a");
+        world.run(200);
+        cr_assert(world.cancelled().contains("a"));
+        world.submit(spec);
+        world.run(10 * steps);
+        world.takeOver();
+        world.run(3'000);
+        cr_expect_eq(world.countStarts("a"), 0, "after %d steps", steps);
+    }
+}
+
+// Guards against a cancelling that is acknowledged before the last append of its batch.
+Test(pool, a_cancelling_that_is_written_with_other_records_isnt_lost_whenever_the_owner_ends)
+{
+    for (auto steps = 0; steps <= 8; ++steps) {
+        auto       world = PoolWorld(1, {}, 2);
+        const auto other = makeJob("b", {makeStep(1, 500)});
+        world.settings().maxAppendBytes = appendedBytes(other, world.now().wallMs);
+        world.takeOver();
+        world.submit(makeJob("a", {makeStep(1, 30'000)}));
+        world.run(1'000);
+        cr_assert(world.isRunning(firstTask("a")));
+        world.cancel("a");
+        world.submit(other);
+        world.run(10 * steps);
+        world.takeOver();
+        world.run(3'000);
+        expectNoViolations(world);
+    }
+}
+
 // Guards against a start after an acknowledged cancelling that overtook the job's submission.
 Test(pool, a_job_that_was_cancelled_before_it_arrived_never_starts)
 {
@@ -624,6 +676,29 @@
     }
 }
 
+// Guards against the same where the owner ends without a handover: the lease that it gave after the restart is longer
+// than those that its successor assumes.
+Test(pool, a_worker_that_restarted_before_its_owner_ended_runs_its_tasks_alone)
+{
+    auto world = PoolWorld(1, {}, 2);
+    addLabel(world, "w0");
+    world.run(4'000);
+    world.submit(makeJob("short", {makeStep(8, 200)}));
+    world.run(300);
+    world.restart("w0", 10);
+    world.run(20);
+    world.submit(makeLabelledJob());
+    world.run(300);
+    cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+    addLabel(world, "w1");
+    world.takeOver();
+    world.run(50);
+    world.isolate("w0");
+    world.run(14'000);
+    cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+    expectNoViolations(world);
+}
+
 // Guards against work that waits for the lease of a worker that never got it: a start that was sent to a
 // worker that had ended while it was idle could only be taken back by a stop, which nobody answered.
 Test(pool, nothing_is_started_on_an_idle_worker_that_doesnt_answer)
@@ -719,16 +794,118 @@
     }
 }
 
-auto playSeeds(WorldFaults faults) -> void
+// Returns a random job: timed or lasting steps, gangs, occurrences that are due later, and with `mayBeWide` steps
+// whose progress is several records.
+auto makeAnyJob(pcg32 &random, std::string id, std::int64_t nowMs, bool mayBeWide) -> JobSpec
+{
+    const auto draw = [&](TimeMs first, TimeMs last) {
+        return std::uniform_int_distribution<TimeMs>(first, last)(random);
+    };
+    auto steps = std::vector<StepSpec>();
+    for (auto step = draw(1, 3); step > 0; --step) {
+        steps.push_back(makeStep(draw(1, 6), draw(100, 2'500)));
+        steps.back().isGang = draw(1, 5) == 1;
+        if (steps.size() > 1) {
+            steps.back().after = {std::ssize(steps) - 2};
+        }
+    }
+    if (draw(1, 5) == 1) {
+        steps.resize(1);
+        steps.back().isUnbounded = true;
+        steps.back().isGang = false;
+    } else if (mayBeWide && draw(1, 4) == 1) {
+        steps.front() = makeStep(draw(kTasksPerRecord, 3 * kTasksPerRecord), draw(50, 200));
+    }
+    auto job = makeJob(std::move(id), std::move(steps));
+    if (draw(1, 4) == 1) {
+        job.occurrences = draw(2, 5);
+        job.startAtMs = nowMs + draw(0, 3'000);
+        job.intervalMs = draw(300, 3'000);
+    }
+    return job;
+}
+
+enum class Arrival { First, Copied, Overtaken };
+
+// Submits jobs and cancels them at random moments while faults are injected and owners hand over. Copied: copies
+// of a submission arrive seconds after it was accepted. Overtaken: cancels may also arrive before their job.
+auto playCancels(std::uint64_t seed, WorldFaults faults, Arrival arrival) -> void
+{
+    auto       random = pcg32(seed);
+    const auto draw = [&](TimeMs first, TimeMs last) {
+        return std::uniform_int_distribution<TimeMs>(first, last)(random);
+    };
+    auto       world = PoolWorld(seed, faults, 6);
+    // So that a batch needs several appends.
+    const auto mayBeWide = draw(1, 2) == 1;
+    world.settings().maxAppendBytes = mayBeWide ? 8'000 : 1'000;
+    world.takeOver();
+    auto jobs = std::vector<std::string>();
+    for (auto round = 0; round < 150; ++round) {
+        if (round < 120 && draw(1, 8) == 1) {
+            jobs.push_back(fmt::format("job{}", jobs.size()));
+            const auto spec = makeAnyJob(random, jobs.back(), world.now().wallMs, mayBeWide);
+            if (arrival == Arrival::Overtaken && draw(1, 3) == 1) {
+                world.submitLater(spec, draw(10, 4'000));
+            } else {
+                world.submit(spec);
+            }
+            if (arrival != Arrival::First && draw(1, 2) == 1) {
+                world.submitLater(spec, draw(10, 6'000));
+            }
+        }
+        if (!jobs.empty() && draw(1, 6) == 1) {
+            // Often one of the last, which has just been placed.
+            const auto  among = std::min<TimeMs>(std::ssize(jobs), draw(1, 2) == 1 ? 1 : 8);
+            const auto &job = jobs[jobs.size() - static_cast<std::size_t>(draw(1, among))];
+            if (arrival == Arrival::Overtaken || world.accepted().contains(job)) {
+                world.cancel(job);
+            }
+            // Between the appends of the batch that has the cancelling.
+            if (draw(1, 4) == 1) {
+                world.run(draw(1, 5) * 10);
+                world.takeOver();
+            }
+        }
+        if (draw(1, 30) == 1) {
+            world.startHandover();
+        }
+        world.run(draw(1, 10) == 1 ? draw(500, 2'000) : draw(1, 20) * 10);
+    }
+    world.run(20'000);
+    for (const auto &what : world.violations()) {
+        cr_log_error("seed %lu: %s", static_cast<unsigned long>(seed), what.c_str());
+    }
+    cr_expect(world.violations().empty());
+    for (const auto &job : world.cancelled()) {
+        for (auto &[id, worker] : world.workers()) {
+            cr_expect(std::ranges::none_of(worker.running,
+                                           [&](const auto &run) { return run.task.job == job; }),
+                      "seed %lu: %s still runs", static_cast<unsigned long>(seed), job.c_str());
+        }
+    }
+}
+
+auto playSeeds(const std::function<void(std::uint64_t)> &play) -> void
 {
     const auto *chosen = std::getenv("PERIDOTWALK_SEED");
     const auto  first = chosen == nullptr ? 1 : std::atoi(chosen);
     const auto  last = chosen == nullptr ? kSeeds : first;
     for (auto seed = first; seed <= last; ++seed) {
-        playSchedule(static_cast<std::uint64_t>(seed), faults);
+        play(static_cast<std::uint64_t>(seed));
     }
 }
 
+auto playSeeds(WorldFaults faults) -> void
+{
+    playSeeds([&](std::uint64_t seed) { playSchedule(seed, faults); });
+}
+
+auto playCancelSeeds(WorldFaults faults, Arrival arrival) -> void
+{
+    playSeeds([&](std::uint64_t seed) { playCancels(seed, faults, arrival); });
+}
+
 } // namespace
 
 Test(pool_schedules, lost_answers_and_late_orders)
@@ -750,3 +927,39 @@
 {
     playSeeds({.lostAppends = 5, .takeovers = 1, .restarts = 2, .cuts = 2});
 }
+
+// Guards against starts after an acknowledged cancelling.
+Test(pool_schedules, cancelled_jobs_dont_start_while_owners_change)
+{
+    playCancelSeeds({.lostAnswers = 5, .lateOrders = 50, .lostAppends = 20, .takeovers = 5},
+                    Arrival::First);
+}
+
+Test(pool_schedules, cancelled_jobs_dont_start_while_workers_crash)
+{
+    playCancelSeeds(
+        {.lostAnswers = 10, .lateOrders = 50, .lostAppends = 10, .crashes = 1, .takeovers = 3},
+        Arrival::First);
+}
+
+Test(pool_schedules, cancelled_jobs_dont_start_while_workers_restart_and_fail)
+{
+    playCancelSeeds({.lostAnswers = 5,
+                     .lostAppends = 10,
+                     .failingRuns = 10,
+                     .takeovers = 3,
+                     .restarts = 2,
+                     .cuts = 2},
+                    Arrival::First);
+}
+
+Test(pool_schedules, copies_of_a_submission_dont_start_a_cancelled_job)
+{
+    playCancelSeeds({.lostAnswers = 5, .lostAppends = 20, .takeovers = 5}, Arrival::Copied);
+}
+
+// Guards against a submission that is accepted after its cancelling, which found no such job.
+Test(pool_schedules, a_submission_that_its_cancelling_overtook_starts_nothing)
+{
+    playCancelSeeds({.lostAnswers = 5, .lostAppends = 20, .takeovers = 5}, Arrival::Overtaken);
+}
