A successor ends jobs whose early cancel outlived the record of their end

Found by the schedules of cancels. An owner that ended between the appends of a job and of its end, after an early cancel, left a job that the next owner ran: restore() didn't look at early cancels. It ends such jobs now. pool/a_job_cancelled_before_it_arrived_starts_nothing_whenever_its_owner_ends failed before and passes.

--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -109,6 +109,12 @@
             allocate(worker, ref, run);
         });
     }
+    // The previous owner may have ended after the record of such a job, and before that of its end.
+    for (const auto &[id, cancel] : earlyCancels_) {
+        if (active_.contains(id)) {
+            finishJob(now, jobs_.at(id), JobState::Cancelled);
+        }
+    }
     onViewChanged(now);
 }
 
