An early cancel moves with its queue (review of the fix)

A cancelling of an unknown job stayed in the pool that recorded it: after the queue had moved, the submission was let in at the new home. A pool with early cancels of a queue now counts as an earlier home of it, and a submission that it is asked for ends there as cancelled. node/a_cancelling_that_overtook_its_submission_counts_after_the_queue_has_moved failed before (both variants) and passes.

--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -94,10 +94,11 @@
 // isn't to run once it arrives.
 struct EarlyCancel {
     std::int64_t atMs = 0; // On the wall clock.
+    std::string  queue;    // As the call named it.
 };
 using EarlyCancels = std::map<std::string, EarlyCancel, std::less<>>; // By job.
 
-auto encodeEarlyCancel(const std::string &pool, const std::string &job, EarlyCancel cancel)
+auto encodeEarlyCancel(const std::string &pool, const std::string &job, const EarlyCancel &cancel)
     -> KeyedRecord;
 auto encodeEarlyCancelRemoval(const std::string &pool, const std::string &job) -> KeyedRecord;
 auto findEarlyCancels(const std::string &pool, const std::vector<KeyedRecord> &records)
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -199,7 +199,9 @@
     const auto isHeld = !call.job.empty() && scheduler_->holdsJob(call.job);
     if (call.scope == PoolScope::Held) {
         const auto isAboutJob = call.verb != PoolVerb::CountPending;
-        if (isAboutJob && !isHeld) {
+        const auto endsHere =
+            call.verb == PoolVerb::Submit && scheduler_->isCancelledEarly(call.job);
+        if (isAboutJob && !isHeld && !endsHere) {
             confirmMissing(call, std::move(slot));
             return;
         }
@@ -231,7 +233,11 @@
         return;
     }
     if (call.verb == PoolVerb::Submit) {
-        scheduler_->submit(readMoment(), addPending(std::move(slot)), call.spec);
+        auto spec = call.spec;
+        spec.pool =
+            identity_
+                .pool; // Another one if the job ends at an earlier home, where it was cancelled.
+        scheduler_->submit(readMoment(), addPending(std::move(slot)), std::move(spec));
     } else {
         const auto handle =
             addPending([this, alive = isAlive_, call, slot](const PoolAnswer &answer) {
@@ -240,7 +246,7 @@
                 }
                 slot(answer);
             });
-        scheduler_->cancel(readMoment(), handle, call.job);
+        scheduler_->cancel(readMoment(), handle, call.job, call.queue);
     }
     run();
 }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -146,11 +146,12 @@
     }
 }
 
-auto PoolScheduler::State::cancel(Moment now, std::int64_t handle, std::string_view id) -> void
+auto PoolScheduler::State::cancel(Moment now, std::int64_t handle, std::string_view id,
+                                  std::string_view queue) -> void
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        cancelEarly(now, handle, id);
+        cancelEarly(now, handle, id, queue);
         return;
     }
     auto &entry = found->second;
@@ -166,7 +167,8 @@
 
 // Cancels a job whose submission may still be on its way. The record also shows that this still is the owner,
 // and so that no newer one had accepted the job before this call.
-auto PoolScheduler::State::cancelEarly(Moment now, std::int64_t handle, std::string_view id) -> void
+auto PoolScheduler::State::cancelEarly(Moment now, std::int64_t handle, std::string_view id,
+                                       std::string_view queue) -> void
 {
     if (refuseUnrecorded(now, handle)) {
         return;
@@ -179,7 +181,7 @@
         return isExpired;
     });
     const auto job = std::string(id);
-    earlyCancels_[job] = {now.wallMs};
+    earlyCancels_[job] = {now.wallMs, std::string(queue)};
     changedCancels_.insert(job);
     afterAppend(AnswerEffect{handle, JobVerdict::Missing});
 }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -60,9 +60,10 @@
     state_->submit(now, handle, std::move(spec));
 }
 
-auto PoolScheduler::cancel(Moment now, std::int64_t handle, std::string_view id) -> void
+auto PoolScheduler::cancel(Moment now, std::int64_t handle, std::string_view id,
+                           std::string_view queue) -> void
 {
-    state_->cancel(now, handle, id);
+    state_->cancel(now, handle, id, queue);
 }
 
 auto PoolScheduler::adoptQueue(std::int64_t handle, const std::string &queue, QueueHome home)
@@ -189,11 +190,19 @@
     return state_->jobs_.contains(id);
 }
 
+auto PoolScheduler::isCancelledEarly(std::string_view id) const -> bool
+{
+    return state_->earlyCancels_.contains(id);
+}
+
 auto PoolScheduler::holdsJobsOf(std::string_view queue) const -> bool
 {
-    return std::ranges::any_of(state_->jobs_, [&](const auto &item) {
-        return item.second.job.spec.queue == queue || state_->queueOf(item.second) == nullptr;
-    });
+    const auto isCancelledEarly = std::ranges::any_of(
+        state_->earlyCancels_, [&](const auto &item) { return item.second.queue == queue; });
+    return isCancelledEarly || std::ranges::any_of(state_->jobs_, [&](const auto &item) {
+               return item.second.job.spec.queue == queue
+                   || state_->queueOf(item.second) == nullptr;
+           });
 }
 
 auto PoolScheduler::isHomeOf(std::string_view queue) const -> bool
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -163,7 +163,9 @@
     auto setTerm(TimeMs untilMs) -> void;   // End of ownership, steady clock. Nothing starts later.
     // submit() to confirmOwnership() are answered by an AnswerCaller action with the same handle.
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
-    auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
+    // `queue` is that of the call, for a job whose submission hasn't arrived.
+    auto cancel(Moment now, std::int64_t handle, std::string_view id, std::string_view queue = {})
+        -> void;
     // Makes this pool the home of a queue, once all other pools have released it, and ends that.
     auto adoptQueue(std::int64_t handle, const std::string &queue, QueueHome home) -> void;
     auto releaseQueue(std::int64_t handle, const std::string &queue) -> void;
@@ -187,7 +189,9 @@
     auto jobState(std::string_view id) const -> std::optional<JobState>; // In the journal.
     auto countPending(std::string_view queue) const -> std::int64_t;     // Jobs without a run yet.
     auto holdsJob(std::string_view id) const -> bool; // Also one that isn't in the journal yet.
-    // Whether it holds jobs of the queue, or of queues that operators have renamed or removed.
+    // Whether the job was cancelled here before its submission arrived.
+    auto isCancelledEarly(std::string_view id) const -> bool;
+    // Whether it holds jobs or early cancels of the queue, or jobs of queues that operators have renamed or removed.
     auto holdsJobsOf(std::string_view queue) const -> bool;
     auto isHomeOf(std::string_view queue) const -> bool; // Also if that isn't in the journal yet.
     // The queue's home as the journal has it, or nullptr.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -198,8 +198,10 @@
     // Jobs (jobs.cpp)
     auto restore(Moment now, JobTable &&jobs) -> void;
     auto submit(Moment now, std::int64_t handle, JobSpec spec) -> void;
-    auto cancel(Moment now, std::int64_t handle, std::string_view id) -> void;
-    auto cancelEarly(Moment now, std::int64_t handle, std::string_view id) -> void;
+    auto cancel(Moment now, std::int64_t handle, std::string_view id, std::string_view queue)
+        -> void;
+    auto cancelEarly(Moment now, std::int64_t handle, std::string_view id, std::string_view queue)
+        -> void;
     auto confirmOwnership(Moment now, std::int64_t handle) -> void;
     auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool; // Whether it had to refuse.
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
