--- a/src/node/pools_task.cpp
+++ b/src/node/pools_task.cpp
@@ -31,9 +31,13 @@
     ownership.startHandoverOfLost = [this](std::function<void()> done) {
         startHandover(false, std::move(done));
     };
+    // Another node may have owned an unchecked partition meanwhile, so its pools' terms aren't extended.
     ownership.renewed.connect([this](TimeMs termUntil) {
+        const auto &unchecked = ownership_.ownership().unchecked();
         for (auto &[name, pool] : pools_) {
-            pool->setTerm(termUntil);
+            if (!unchecked.contains(partitionOf(name, settings_.ownership.partitions))) {
+                pool->setTerm(termUntil);
+            }
         }
     });
 }
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -633,3 +633,23 @@
         cr_expect_not(node.isToRun("b"), "the earlier pool has jobs: %d", hasJobs);
     }
 }
+
+// Guards against starts and answers of an owner that another one has replaced and given back, while the store doesn't say so.
+Test(node, an_unchecked_partition_keeps_no_term)
+{
+    auto node = NodeFixture();
+    cr_assert(node.awaitOwner(5));
+    cr_assert(node.submit("a") == PoolStatus::Ok);
+    node.store.areChecksLost = true;
+    node.reassignToAnotherAndBack();
+    cr_assert(node.runUntil([&] { return node.store.checks > 0; }));
+    const auto termUntil = node.ownership.ownership().termUntil();
+    cr_assert(node.runUntil([&] { return bootMs() >= termUntil; }));
+    for (const auto verb : {PoolVerb::Query, PoolVerb::CountPending, PoolVerb::Cancel}) {
+        const auto id = verb == PoolVerb::CountPending ? "" : "a";
+        cr_assert(node.callQueue(verb, id)->status == PoolStatus::NotOwner);
+    }
+    node.store.areChecksLost = false;
+    cr_assert(node.awaitOwner(7));
+    cr_assert(node.callQueue(PoolVerb::Cancel, "a")->status == PoolStatus::Ok);
+}
