--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -47,7 +47,7 @@
     PERIDOTWALK_WIRE(JobRow, v.spec, v.acceptedAtMs)
     PERIDOTWALK_WIRE(Handover, v.expiresInMs)
     PERIDOTWALK_WIRE(QueueHome, v.earlierPools)
-    PERIDOTWALK_WIRE(EarlyCancel, v.atMs, v.queue)
+    PERIDOTWALK_WIRE(EarlyCancel, v.queue)
     PERIDOTWALK_WIRE(ProgressRow, v.state, v.doneOccurrences, v.done, v.tasks)
 
     } // namespace adaptor
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -93,8 +93,7 @@
 // Written when a caller cancels a job that the pool doesn't have: its submission may still be on its way, and
 // isn't to run once it arrives.
 struct EarlyCancel {
-    std::int64_t atMs = 0; // On the wall clock.
-    std::string  queue;    // As the call named it.
+    std::string queue; // As the call named it.
 };
 using EarlyCancels = std::map<std::string, EarlyCancel, std::less<>>; // By job.
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -379,6 +379,7 @@
     auto onEarlierHome(const std::shared_ptr<RoutedCall> &routed, const EarlierHomesPtr &homes,
                        const PoolAnswer &answer) -> void;
 
+    auto handleHere(const std::shared_ptr<RoutedCall> &routed) -> void;
     auto attempt(const std::shared_ptr<RoutedCall> &routed) -> void;
     auto onAnswer(const std::shared_ptr<RoutedCall> &routed, const PoolAnswer &answer) -> void;
 
--- a/src/node/router_task.cpp
+++ b/src/node/router_task.cpp
@@ -73,7 +73,7 @@
     const auto slot = [this, routed](const PoolAnswer &answer) { onAnswer(routed, answer); };
     ++routed->attempts;
     if (member == ownership_.member()) {
-        pools_.handle(routed->call, slot);
+        handleHere(routed);
         return;
     }
     const auto address = addressOf(member);
@@ -109,6 +109,26 @@
     });
 }
 
+// The owner may wait for the journal longer than the caller does.
+auto RouterTask::handleHere(const std::shared_ptr<RoutedCall> &routed) -> void
+{
+    const auto isAnswered = std::make_shared<bool>(false);
+    const auto slot = [this, routed, isAnswered](const PoolAnswer &answer) {
+        if (!std::exchange(*isAnswered, true)) {
+            onAnswer(routed, answer);
+        }
+    };
+    pools_.handle(routed->call, slot);
+    // A queue that is released late is still adopted by the calls that wait for it.
+    if (!*isAnswered && routed->call.verb != PoolVerb::ReleaseQueue) {
+        loop_.post(
+            [slot] {
+                slot({PoolStatus::Unknown, JobState::Queued, 0, "the journal hasn't answered", 0});
+            },
+            std::max<TimeMs>(0, routed->deadline - bootMs()));
+    }
+}
+
 auto RouterTask::onAnswer(const std::shared_ptr<RoutedCall> &routed, const PoolAnswer &answer)
     -> void
 {
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr TimeMs       kStalledRetryMs = 1'000; // Outages of the store last seconds.
+constexpr TimeMs kStalledRetryMs = 1'000; // Outages of the store last seconds.
 // Copies of a submission arrive seconds after its caller gave up at most.
-constexpr std::int64_t kEarlyCancelKeptMs = 120'000;
+constexpr TimeMs kEarlyCancelKeptMs = 120'000;
 
 auto countFailures(const std::vector<JobTask> &tasks) -> std::int64_t
 {
@@ -174,14 +174,14 @@
         return;
     }
     std::erase_if(earlyCancels_, [&](const auto &item) {
-        const auto isExpired = now.wallMs - item.second.atMs > kEarlyCancelKeptMs;
+        const auto isExpired = now.steadyMs - item.second.since > kEarlyCancelKeptMs;
         if (isExpired) {
             changedCancels_.insert(item.first);
         }
         return isExpired;
     });
     const auto job = std::string(id);
-    earlyCancels_[job] = {now.wallMs, std::string(queue)};
+    earlyCancels_[job] = {{std::string(queue)}, now.steadyMs};
     changedCancels_.insert(job);
     afterAppend(AnswerEffect{handle, JobVerdict::Missing});
 }
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -76,9 +76,10 @@
     batch.homes = std::exchange(changedHomes_, {});
     for (const auto &job : std::exchange(changedCancels_, {})) {
         const auto cancel = earlyCancels_.find(job);
-        batch.records.push_back(cancel == earlyCancels_.end()
-                                    ? encodeEarlyCancelRemoval(identity_.pool, job)
-                                    : encodeEarlyCancel(identity_.pool, job, cancel->second));
+        batch.records.push_back(
+            cancel == earlyCancels_.end()
+                ? encodeEarlyCancelRemoval(identity_.pool, job)
+                : encodeEarlyCancel(identity_.pool, job, cancel->second.cancel));
     }
     if (isHandoverDue) {
         handover_ = HandoverStage::Writing;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -35,7 +35,9 @@
 auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous,
                             const QueueHomes &homes, EarlyCancels cancels) -> void
 {
-    state_->earlyCancels_ = std::move(cancels);
+    for (auto &[job, cancel] : cancels) {
+        state_->earlyCancels_[job] = {std::move(cancel), now.steadyMs};
+    }
     state_->previousHandover_ = std::move(previous);
     for (const auto &[queue, home] : homes) {
         state_->homes_[queue] = {home, true};
@@ -198,7 +200,7 @@
 auto PoolScheduler::holdsJobsOf(std::string_view queue) const -> bool
 {
     const auto isCancelledEarly = std::ranges::any_of(
-        state_->earlyCancels_, [&](const auto &item) { return item.second.queue == queue; });
+        state_->earlyCancels_, [&](const auto &item) { return item.second.cancel.queue == queue; });
     return isCancelledEarly || std::ranges::any_of(state_->jobs_, [&](const auto &item) {
                return item.second.job.spec.queue == queue
                    || state_->queueOf(item.second) == nullptr;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -142,6 +142,11 @@
     bool      isRecorded = false; // The journal has it.
 };
 
+struct EarlyCancelEntry {
+    EarlyCancel cancel;
+    TimeMs      since = 0; // When this owner learned of it.
+};
+
 // Progress of the handover record of this owner.
 enum class HandoverStage { None, Due, Writing, Done };
 
@@ -311,8 +316,9 @@
     std::map<std::string, std::set<std::int64_t, std::greater<>>> changed_;
     std::set<std::string>                                         submitted_; // Jobs to record.
     std::map<std::string, HomeEntry, std::less<>>                 homes_;     // By queue.
-    std::set<std::string>   changedHomes_;              // Queues whose homes to record.
-    EarlyCancels            earlyCancels_;              // Of jobs that this pool hasn't had.
+    std::set<std::string> changedHomes_; // Queues whose homes to record.
+    std::map<std::string, EarlyCancelEntry, std::less<>>
+                            earlyCancels_;              // Of jobs that haven't arrived.
     std::set<std::string>   changedCancels_;            // Jobs whose early cancels to record.
     std::vector<Effect>     effects_;                   // Effects of the next batch.
     std::optional<Batch>    batch_;                     // Being appended. Nothing: none.
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -653,3 +653,17 @@
     cr_assert(node.awaitOwner(7));
     cr_assert(node.callQueue(PoolVerb::Cancel, "a")->status == PoolStatus::Ok);
 }
+
+// Guards against calls that get no answer while the journal gives none.
+Test(node, an_unknown_job_is_answered_by_the_deadline_while_the_journal_is_silent)
+{
+    for (const auto verb : {PoolVerb::Cancel, PoolVerb::Query}) {
+        auto node = NodeFixture();
+        cr_assert(node.awaitOwner(5));
+        cr_assert(node.submit("a") == PoolStatus::Ok);
+        node.store.areAppendsLost = true;
+        const auto answer = node.callQueue(verb, "b");
+        cr_assert(answer.has_value());
+        cr_assert(answer->status == PoolStatus::Unknown);
+    }
+}
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -211,6 +211,20 @@
     }
 }
 
+// Guards against an early cancel that a step of the time of day ends.
+Test(pool, an_early_cancel_outlives_a_step_of_the_clock)
+{
+    auto world = PoolWorld(1, {}, 2);
+    world.cancel("a");
+    world.run(100);
+    const auto hour = TimeMs{3'600'000};
+    world.owner().cancel({world.now().steadyMs, world.now().wallMs + hour}, 999, "b");
+    world.run(100);
+    world.submit(makeJob("a", {makeStep(1, 500)}));
+    world.run(3'000);
+    cr_assert_eq(world.countStarts({"a", 0, 0, 0}), 0);
+}
+
 // Guards against records of cancellings that stay in the journal for good.
 Test(pool, a_cancelling_of_an_unknown_job_is_forgotten_in_time)
 {
