--- a/emulator/web.py
+++ b/emulator/web.py
@@ -68,24 +68,35 @@
     return server, server.sockets[0].getsockname()[1]
 
 
+async def connect(port):
+    """Opens a connection for exchange(). Returns its reader and writer."""
+    return await asyncio.open_connection("127.0.0.1", port, limit=MAX_BODY)
+
+
+async def exchange(connection, method, target, body=None, headers=None):
+    """Sends one request on an open connection. Returns status, headers and body."""
+    reader, writer = connection
+    data = b"" if body is None else json.dumps(body).encode()
+    lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(data)}", "Content-Type: application/json"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+    await writer.drain()
+    line, answered, answer = await read_message(reader)
+    return int(line.split(" ")[1]), answered, answer
+
+
 async def call(port, method, target, body=None, headers=None, timeout=3.0):
     """Sends one request on a new connection. Returns status, headers and body. Raises OSError, TimeoutError or
     EOFError if no complete answer arrives."""
 
-    async def exchange():
-        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=MAX_BODY)
+    async def call_once():
+        connection = await connect(port)
         try:
-            data = b"" if body is None else json.dumps(body).encode()
-            lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(data)}", "Content-Type: application/json"]
-            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
-            await writer.drain()
-            line, answered, answer = await read_message(reader)
-            return int(line.split(" ")[1]), answered, answer
+            return await exchange(connection, method, target, body, headers)
         finally:
-            writer.close()
+            connection[1].close()
 
     try:
-        return await asyncio.wait_for(exchange(), timeout)
+        return await asyncio.wait_for(call_once(), timeout)
     except asyncio.TimeoutError as error:
         raise TimeoutError(f"{method} {target}") from error
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -10,13 +10,17 @@
 MISSED_HEARTBEATS = 3  # The entry in the store of a crashed worker is removed after that many.
 MAX_LEASE_MS = 10_000  # A longer lease is granted for this time only.
 MAX_WAIT_MS = 2_000  # Longest wait of a hold call for a finished run.
+CANCEL_S = 3.0  # From the acknowledgement of a cancelling on, nodes have that long to stop sending starts.
+MAX_ORDER_DELAY_S = 0.6  # An order is carried out at most this long after a node has sent it.
 
 
 class Ledger:
     """What callers and workers have observed. `violations` lists the violated guarantees."""
 
     def __init__(self):
-        self.jobs = {}  # Id to spec, steps, whether it was accepted, and whether each attempt was refused.
+        # Id to spec, steps, whether it was accepted, whether each attempt was refused, whether a cancelling was sent, and
+        # its acknowledgement: None, or time and description.
+        self.jobs = {}
         self.running = {}  # Task to the workers that run it.
         self.done = set()  # Tasks that ended as done on a worker, and whose end an owner has acknowledged.
         self.ended_done = set()  # Tasks that ended as done on a worker.
@@ -33,6 +37,10 @@
             self.fail(f"UNASKED {task} on {worker.id}")
             return
         self.starts += 1
+        late_s = self.since_cancelled_s(job_id)
+        if late_s > CANCEL_S + MAX_ORDER_DELAY_S:
+            self.fail(f"UNASKED {task} on {worker.id} starts {late_s:.1f} s after its cancelling was acknowledged, "
+                      f"{job['acknowledgement'][1]}")
         if self.running.get(task):
             self.fail(f"TWICE {task} on {worker.id} and {sorted(self.running[task])}")
         if task in self.done:
@@ -43,6 +51,15 @@
                     self.fail(f"ORDER {task} before {job_id}.0.{earlier}.{index}")
         self.running.setdefault(task, set()).add(worker.id)
 
+    def since_cancelled_s(self, job_id):
+        """Returns the time since the cancelling of a job was acknowledged, or 0 if it wasn't."""
+        job = self.jobs.get(job_id)
+        return time.monotonic() - job["acknowledgement"][0] if job and job["acknowledgement"] else 0
+
+    def running_cancelled(self):
+        """Returns the tasks that run although the cancelling of their job was acknowledged."""
+        return [task for task, workers in self.running.items() if workers and self.since_cancelled_s(task.split(".")[0])]
+
     def end(self, worker, task):
         self.running.get(task, set()).discard(worker.id)
 
