--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -52,6 +52,8 @@
                 self.tasks.add(asyncio.ensure_future(self.cancel(job_id, body, submission)))
             await asyncio.sleep(self.random.expovariate(self.per_second))
         await asyncio.gather(*self.tasks)
+        for _, writer in [connection for idle in self.idle.values() for connection in idle]:
+            writer.close()
 
     async def call(self, port, method, job_id, body=None):
         """Calls over a new or an open connection, which a caller keeps until its node closes it. Returns the status."""
