--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -28,7 +28,7 @@
         job_id = f"{self.random.getrandbits(64):016x}"
         if is_cancelled and self.random.random() < 0.7:
             # Later steps and long tasks leave starts and stops to do seconds after the cancelling.
-            lengths_ms = self.random.choice([[2500, 2500, 1000], [4000, 1000, 1000], [800] * 8, [14_000]])
+            lengths_ms = self.random.choice([[2500, 2500, 1000], [4000, 1000, 1000], [800] * 8, [20_000]])
             steps = [{"count": 1, "cpu": 1000, "memMb": 1000, "estimateMs": length_ms, "after": [step - 1] if step else []}
                      for step, length_ms in enumerate(lengths_ms)]
             return job_id, {"spec": f"payload {job_id}", "steps": steps}
