--- a/tests/soak/cancels.py
+++ b/tests/soak/cancels.py
@@ -104,7 +104,7 @@
             await worker.start()
         zones = [f"zone-{number}" for number in range(self.random.choice([2, 2, 3]))]
         for number in range(self.random.randint(max(4, 2 * len(zones) - 1), 8)):
-            node = ZoneNode(number, self.options.program, self.folder, 0, zones[number % len(zones)])
+            node = ZoneNode(number, zones[number % len(zones)], self.options.program, self.folder, 0)
             await node.connect(self.store, self.crossings)
             for zone in set(zones) - {node.zone}:
                 self.crossings[zone, node.name] = Proxy(node.peers)
