--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -673,3 +673,18 @@
         cr_assert_not(forecast.isRising(now));
     }
 }
+
+// Guards against a tenant above its maximum after a change of the coordinator: what a pool without a queue still runs
+// isn't known yet.
+Test(quota, a_new_ledger_waits_for_pools_that_run_jobs_but_have_no_queue)
+{
+    const auto catalog = makeCatalog(1'000);
+    auto       ledger = QuotaLedger();
+    const auto pools = catalog.activePools(); // As CoordinatorTask::handle().
+    ledger.setPools({pools.begin(), pools.end()});
+    ledger.grant(makeReport("p", 100, 0, 1'000), catalog);
+    ledger.grant(makeReport("q", 100, 0, 0), catalog);
+    // A third pool runs 800 of what the previous coordinator granted.
+    const auto grants = ledger.grant(makeReport("p", 100, 0, 1'000), catalog);
+    cr_assert(grants.empty() || grants.front().allowance.cpu + 800 <= 1'000);
+}
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -667,3 +667,30 @@
         cr_assert(answer->status == PoolStatus::Unknown);
     }
 }
+
+// Guards against a second copy, and a 410 for an accepted job: the queue moves away and back while a call waits for
+// an earlier home, so that the list it had from the home is out of date.
+Test(node, a_home_that_was_added_while_a_call_waited_is_asked_too)
+{
+    for (const auto verb : {PoolVerb::Cancel, PoolVerb::Query, PoolVerb::Submit}) {
+        auto node = NodeFixture();
+        cr_assert(node.awaitOwner(5));
+        cr_assert(node.submit("a") == PoolStatus::Ok);
+        node.moveQueue("other");
+        cr_assert(node.submit("b") == PoolStatus::Ok);
+        node.moveQueue("third");
+        cr_assert(node.submit("c") == PoolStatus::Ok);
+        node.moveQueue("other");
+        cr_assert(node.submit("d") == PoolStatus::Ok);
+        auto spec = JobSpec{};
+        spec.id = "c";
+        spec.queue = "queue";
+        spec.pool = "other";
+        spec.steps.emplace_back();
+        const auto answer = node.call(
+            {verb, "other", "c", "queue", spec, PoolScope::New, node.store.rules.version});
+        cr_assert(answer.has_value());
+        cr_assert(answer->status != PoolStatus::Missing);
+        cr_assert_not(node.holds("other", "c"));
+    }
+}
