--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -33,10 +33,10 @@
 PoolScheduler::~PoolScheduler() = default;
 
 auto PoolScheduler::restore(Moment now, JobTable jobs, std::optional<Handover> previous,
-                            const QueueHomes &homes, EarlyCancels cancels) -> void
+                            const QueueHomes &homes, const EarlyCancels &cancels) -> void
 {
-    for (auto &[job, cancel] : cancels) {
-        state_->earlyCancels_[job] = {std::move(cancel), now.steadyMs};
+    for (const auto &[job, cancel] : cancels) {
+        state_->earlyCancels_[job] = {cancel, now.steadyMs};
     }
     state_->previousHandover_ = std::move(previous);
     for (const auto &[queue, home] : homes) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -158,7 +158,7 @@
     // Commands.
     // `previous`: the handover record of the previous owner. Nothing if it wrote none.
     auto restore(Moment now, JobTable jobs, std::optional<Handover> previous = std::nullopt,
-                 const QueueHomes &homes = {}, EarlyCancels cancels = {}) -> void;
+                 const QueueHomes &homes = {}, const EarlyCancels &cancels = {}) -> void;
     auto beginHandover(Moment now) -> void; // Stops deciding and appends the handover record.
     auto setTerm(TimeMs untilMs) -> void;   // End of ownership, steady clock. Nothing starts later.
     // submit() to confirmOwnership() are answered by an AnswerCaller action with the same handle.
