--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -234,9 +234,8 @@
     }
     if (call.verb == PoolVerb::Submit) {
         auto spec = call.spec;
-        spec.pool =
-            identity_
-                .pool; // Another one if the job ends at an earlier home, where it was cancelled.
+        // The caller named another pool if the job ends at an earlier home, where it was cancelled.
+        spec.pool = identity_.pool;
         scheduler_->submit(readMoment(), addPending(std::move(slot)), std::move(spec));
     } else {
         const auto handle =
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -194,7 +194,7 @@
     }
 }
 
-// Refuses a call that needs a record soon while none can be written.
+// Refuses a call that needs a record while none can be written. Returns whether it did.
 auto PoolScheduler::State::refuseUnrecorded(Moment now, std::int64_t handle) -> bool
 {
     const auto isRefused = isStalled(now) || now.steadyMs >= termUntil_;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -208,7 +208,7 @@
     auto cancelEarly(Moment now, std::int64_t handle, std::string_view id, std::string_view queue)
         -> void;
     auto confirmOwnership(Moment now, std::int64_t handle) -> void;
-    auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool; // Whether it had to refuse.
+    auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool;
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
                 const std::string &checkpoint) -> void;
     auto finishJob(Moment now, JobEntry &entry, JobState state) -> void;
