--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -306,6 +306,7 @@
         cordoned += worker.isCordoned ? 1 : 0;
         cpu += worker.cpu + worker.unboundedCpu;
     }
+    const auto activity = pool.scheduler()->takeActivity();
     logEvent(LogLevel::Info, "pool.status",
              {{"pool", report.pool},
               {"token", report.token},
@@ -315,7 +316,15 @@
               {"usable", usable},
               {"cordoned", cordoned},
               {"cpu", cpu},
-              {"wanted_cpu", report.wanted.cpu}});
+              {"wanted_cpu", report.wanted.cpu},
+              {"late_cpu", report.wantedLate.cpu},
+              {"placed", activity.placed},
+              {"rounds", activity.rounds},
+              {"ended", activity.ended},
+              {"waiting", activity.waiting},
+              {"owner_limited", activity.ownerLimited},
+              {"unconfirmed", activity.unconfirmed},
+              {"max_tick_gap_ms", activity.maxTickGapMs}});
 }
 
 auto ReporterTask::onDirection(const std::string &name, std::int64_t token,
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -159,7 +159,9 @@
 
 auto PoolScheduler::State::noteTick(Moment now) -> void
 {
-    isOverloaded_ = tickedAt_ > 0 && now.steadyMs - tickedAt_ > settings_.maxTickGapMs;
+    const auto gap = tickedAt_ > 0 ? now.steadyMs - tickedAt_ : 0;
+    activity_.maxTickGapMs = std::max(activity_.maxTickGapMs, gap);
+    isOverloaded_ = gap > settings_.maxTickGapMs;
     tickedAt_ = now.steadyMs;
 }
 
@@ -173,6 +175,9 @@
     }
     needsSchedule_ = false;
     ++placementRounds_;
+    ++activity_.rounds;
+    activity_.waiting = 0;
+    activity_.ownerLimited = 0;
     scheduleAt_ =
         now.steadyMs + settings_.scheduleIntervalMs + std::ssize(active_) / kJobsPerIntervalMs;
     unplaceable_.clear();
@@ -252,7 +257,9 @@
     const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
     const auto &tenant = step.entry->job.spec.tenant;
     tenantWanted_[tenant] += spec.need * tasks;
+    activity_.waiting += tasks;
     if (isRoundFull()) {
+        activity_.ownerLimited += tasks;
         return; // These tasks wait for the owner, not for workers.
     }
     auto      &planned = tenantCovered_[tenant];
@@ -513,6 +520,7 @@
     }
     logRunEvent("run.placed", ref, run.run, worker.peer.id, "");
     ++placed_;
+    ++activity_.placed;
     markChanged(ref);
     afterAppend(StartEffect{ref, task.run, worker.peer.id});
     // An idle worker isn't held, so it may have ended or restarted. It is asked while the journal is written.
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -165,6 +165,15 @@
     return std::exchange(state_->actions_, {});
 }
 
+auto PoolScheduler::takeActivity() -> PoolActivity
+{
+    auto activity = std::exchange(state_->activity_, {});
+    state_->activity_.waiting = activity.waiting;
+    state_->activity_.ownerLimited = activity.ownerLimited;
+    activity.unconfirmed = state_->countUnconfirmed();
+    return activity;
+}
+
 auto PoolScheduler::identity() const -> const PoolIdentity &
 {
     return state_->identity_;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -142,6 +142,18 @@
 // [SECTION] Scheduler
 //-----------------------------------------------------------------------------
 
+// What an owner did since it was last asked, and what holds its work back now. Tells a lack of workers from a
+// limit of the owner itself.
+struct PoolActivity {
+    std::int64_t placed = 0;       // Tasks placed.
+    std::int64_t rounds = 0;       // Placement rounds.
+    std::int64_t ended = 0;        // Ends of runs read.
+    std::int64_t waiting = 0;      // Ready tasks without a run, in the last round.
+    std::int64_t ownerLimited = 0; // Part of them that waits for the owner, not for workers.
+    std::int64_t unconfirmed = 0;  // Runs placed and not confirmed by their workers yet.
+    TimeMs       maxTickGapMs = 0; // Longest time between two ticks.
+};
+
 struct PoolIdentity {
     std::string  pool;
     std::int64_t token = 0; // Fencing token of this owner. Higher ones are newer.
@@ -183,6 +195,7 @@
     // Applies grants and cordons from the coordinator.
     auto applyDirection(Moment now, const PoolDirection &direction) -> void;
     auto takeActions() -> std::vector<PoolAction>;
+    auto takeActivity() -> PoolActivity; // Since the last call.
 
     // Queries.
     auto identity() const -> const PoolIdentity &;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -276,6 +276,7 @@
     auto drainCordoned(Moment now) -> void;
     auto mayEvict(Moment now, const TaskRef &ref) -> bool;
 
+    auto countUnconfirmed() const -> std::int64_t;
     auto queueOf(const JobEntry &entry) const -> const QueueRule *;
     auto logRunEvent(std::string_view event, const TaskRef &task, std::int64_t run,
                      const std::string &worker, std::string detail) -> void;
@@ -329,6 +330,7 @@
     HandoverStage           handover_ = HandoverStage::None;
     TimeMs                  flushedAt_ = 0; // Time of the last batch.
     std::vector<PoolAction> actions_;
+    PoolActivity            activity_;
 };
 
 // Returns the capacity that a task occupies on a worker. Fillers occupy no cpu: they use only what
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -55,6 +55,17 @@
     needsSchedule_ = true;
 }
 
+auto PoolScheduler::State::countUnconfirmed() const -> std::int64_t
+{
+    std::int64_t count = 0;
+    for (const auto &[id, worker] : workers_) {
+        count += std::ranges::count_if(worker.runs, [](const auto &item) {
+            return !item.second.isConfirmed && !item.second.isRestored;
+        });
+    }
+    return count;
+}
+
 auto PoolScheduler::State::isUsable(Moment now, const Worker &worker) const -> bool
 {
     return mayStartOn(worker) && worker.holdFailures == 0 && !worker.isCordoned
@@ -401,6 +412,7 @@
                     fmt::format("end {} number {}", static_cast<int>(ended.end), ended.number));
         endRun(now, worker, ended.task, ended.run, ended.end, ended.checkpoint);
         last = std::max(last, ended.number);
+        ++activity_.ended;
     }
     if (last > worker.seenEnd) {
         worker.seenEnd = last;
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -445,6 +445,24 @@
     expectNoViolations(world);
 }
 
+// The status line has to tell a limit of the owner from a lack of workers.
+Test(pool, activity_tells_work_that_waits_for_workers)
+{
+    auto world = PoolWorld(1, {}, 1);
+    world.run(300);
+    world.owner().takeActivity();
+    world.submit(makeJob("a", {makeStep(10, 4'000)}));
+    world.run(100);
+    const auto activity = world.owner().takeActivity();
+    cr_assert_eq(activity.placed, 4);
+    cr_assert_eq(activity.waiting, 6);
+    cr_assert_eq(activity.ownerLimited, 0);
+    cr_assert_eq(activity.unconfirmed, 0);
+    cr_assert_eq(activity.maxTickGapMs, 10);
+    cr_assert_eq(world.owner().takeActivity().placed, 0);
+    cr_assert_eq(world.owner().takeActivity().waiting, 6);
+}
+
 // More machines don't help a tenant that has used up its allowance; a pool that requested them would
 // keep them idle.
 Test(pool, work_beyond_an_allowance_requests_no_machines)
