--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -463,6 +463,67 @@
     cr_assert_eq(world.owner().takeActivity().waiting, 6);
 }
 
+// Guards against SHORT: a limit on starts that falls as the backlog grows.
+Test(pool, a_burst_on_1100_workers_is_on_time_although_most_of_them_join_late)
+{
+    constexpr auto kJobs =
+        960; // In 4 s, of 15 tasks each. They need three quarters of the workers.
+    constexpr auto kJobsPerStep = 2.4;
+    constexpr auto kEarlyWorkers = 400;
+    constexpr auto kJoinStep = 200;
+    constexpr auto kTaskMs = TimeMs{900};
+    constexpr auto kObjectiveMs =
+        TimeMs{600} + TimeMs{1'440}; // A fixed part and 1.6 times the work.
+    auto       world = PoolWorld(1, {}, 1'100);
+    const auto setDraining = [&](bool isDraining) {
+        world.changeView([&](FleetView &view) {
+            auto number = 0;
+            for (auto &[id, report] : view.workers) {
+                report.isDraining = isDraining && number++ >= kEarlyWorkers;
+            }
+        });
+    };
+    setDraining(true);
+    world.run(500);
+    auto open = std::map<std::string, TimeMs>();
+    auto submitted = 0;
+    auto late = 0;
+    for (auto step = 0; step < 700; ++step) {
+        if (step == kJoinStep) {
+            setDraining(false);
+        }
+        while (submitted < kJobs && submitted < kJobsPerStep * (step + 1)) {
+            const auto id = fmt::format("job{}", submitted++);
+            open[id] = world.now().steadyMs;
+            world.submit(makeJob(id, {makeStep(15, kTaskMs)}));
+        }
+        world.run(10);
+        std::erase_if(open, [&](const auto &item) {
+            const auto isDone = world.owner().jobState(item.first) == JobState::Completed;
+            late += isDone && world.now().steadyMs - item.second > kObjectiveMs ? 1 : 0;
+            return isDone;
+        });
+    }
+    cr_assert_eq(late + std::ssize(open), 0);
+    expectNoViolations(world);
+}
+
+// Guards against SHORT: a pool whose backlog waits for its owner gave its machines away.
+Test(pool, a_backlog_that_waits_for_its_owner_counts_as_demand)
+{
+    auto world = PoolWorld(1, {}, 100);
+    world.run(300);
+    for (auto number = 0; number < 20; ++number) {
+        world.submit(makeJob(fmt::format("job{}", number), {makeStep(95, 4'000)}));
+    }
+    const auto   report = world.owner().report();
+    std::int64_t placed = 0;
+    for (const auto &worker : report.workers) {
+        placed += worker.cpu;
+    }
+    cr_assert_eq(placed + report.wanted.cpu, 20 * 95 * 1'000);
+}
+
 // More machines don't help a tenant that has used up its allowance; a pool that requested them would
 // keep them idle.
 Test(pool, work_beyond_an_allowance_requests_no_machines)
