--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -53,6 +53,9 @@
     ResourceSet               wanted;
     ResourceSet               perWorker; // Largest cpu and memory of any worker. Zero: no workers.
     ResourceSet wantedLate; // As `wanted`, by tasks of late jobs. Expired ones request nothing.
+    // Needed by tasks, late ones too, that wait until the owner has caught up. They keep the pool's workers busy
+    // then, and request no more of them.
+    ResourceSet ownerLimited;
 };
 
 struct TenantGrant {
--- a/src/coordinator/machines.cpp
+++ b/src/coordinator/machines.cpp
@@ -73,7 +73,7 @@
     pool.report = report;
     pool.reportedAt = now;
     pool.workers.clear();
-    auto demand = report.wanted.cpu;
+    auto demand = report.wanted.cpu + report.ownerLimited.cpu;
     for (const auto &worker : report.workers) {
         pool.workers[worker.id] = worker;
         demand += worker.cpu - worker.expiredCpu;
--- a/src/coordinator/moves.cpp
+++ b/src/coordinator/moves.cpp
@@ -42,6 +42,8 @@
     auto demand = PoolDemand{};
     demand.required = std::max({settings_.minMachines, unboundedWorkers, toMachines(unboundedCpu)});
     demand.onTime = std::max(demand.required, toMachines(unboundedCpu + timedCpu));
+    const auto kept = toMachines(unboundedCpu + timedCpu + pool.report.ownerLimited.cpu);
+    demand.onTime = std::max(demand.onTime, std::min(have, kept));
     if (pool.blockedSince >= 0 && now - pool.blockedSince > settings_.blockedTimeoutMs) {
         demand.onTime = std::max(demand.onTime, have + 1);
     }
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -21,16 +21,26 @@
         needsSchedule_ = needsSchedule_ || !(held == grant.allowance);
         held = grant.allowance;
     }
-    auto cordoned = std::map<std::string, TimeMs>();
+    const auto listed =
+        std::set<std::string_view>(direction.cordoned.begin(), direction.cordoned.end());
+    const auto setCordoned = [&](const std::string &id, bool isCordoned) {
+        const auto worker = workers_.find(id);
+        if (worker != workers_.end() && worker->second.isCordoned != isCordoned) {
+            worker->second.isCordoned = isCordoned;
+            needsSchedule_ = true;
+        }
+    };
+    std::erase_if(cordoned_, [&](const auto &item) {
+        const auto isOver = !listed.contains(item.first);
+        if (isOver) {
+            setCordoned(item.first, false);
+        }
+        return isOver;
+    });
     for (const auto &id : direction.cordoned) {
-        const auto before = cordoned_.find(id);
-        cordoned[id] = before == cordoned_.end() ? now.steadyMs : before->second;
-    }
-    cordoned_ = std::move(cordoned);
-    for (auto &[id, worker] : workers_) {
-        const auto isCordoned = cordoned_.contains(id);
-        needsSchedule_ = needsSchedule_ || isCordoned != worker.isCordoned;
-        worker.isCordoned = isCordoned;
+        if (cordoned_.try_emplace(id, now.steadyMs).second) {
+            setCordoned(id, true);
+        }
     }
 }
 
@@ -41,6 +51,13 @@
     report.token = identity_.token;
     report.wanted = wanted_;
     report.wantedLate = wantedLate_;
+    if (areWorkersShort_) {
+        report.wanted += ownerLimited_;
+        report.wantedLate += ownerLimitedLate_;
+    } else {
+        report.ownerLimited = ownerLimited_;
+        report.ownerLimited += ownerLimitedLate_;
+    }
     for (const auto &rule : view_.catalog.rules().tenants) {
         auto row = TenantReport{rule.name, {}, {}, {}};
         if (const auto held = allowances_.find(rule.name); held != allowances_.end()) {
@@ -92,8 +109,7 @@
         const auto isGraceOver = now.steadyMs - since > settings_.cordonGraceMs;
         auto       evicted = std::vector<TaskRef>();
         for (const auto &[ref, run] : worker.runs) {
-            const auto isUnbounded = stepOf(jobs_.at(ref.job), ref).isUnbounded;
-            if (!run.isStopping && run.isConfirmed && (isUnbounded || isGraceOver)) {
+            if (!run.isStopping && run.isConfirmed && (run.isUnbounded || isGraceOver)) {
                 evicted.push_back(ref);
             }
         }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -87,7 +87,7 @@
         entry.recorded = entry.job.state;
         entry.isRecorded = true;
         if (!entry.job.isOver()) {
-            active_.insert(id);
+            active_[id] = &entry;
         }
         if (std::exchange(entry.job.isUnsplit, false)) {
             markChanged(id);
@@ -136,7 +136,7 @@
     auto      &entry = jobs_[id];
     entry.job.spec = std::move(spec);
     entry.job.acceptedAtMs = now.wallMs;
-    active_.insert(id);
+    active_[id] = &entry;
     submitted_.insert(id);
     afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
     logRunEvent("job.accepted", {id, 0, 0, 0}, 0, "", describe(entry.job.spec));
@@ -248,6 +248,7 @@
     }
     markChanged(ref);
     needsSchedule_ = true;
+    entry.summaries[ref.occurrence].isCurrent = false;
     task->endedRun = std::max(task->endedRun, run);
     keepCheckpoint(*task, checkpoint);
     if (run == task->run) {
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -24,6 +24,8 @@
 // microseconds per job, and a node with 0.25 of a core should spend less than a tenth of its time on
 // rounds.
 constexpr std::int64_t kJobsPerIntervalMs = 10;
+constexpr std::int64_t kStepsPerRefillMs =
+    100; // Refills are 1 ms further apart per this many steps.
 
 // Returns the estimated length of the critical path in ms: of the whole job, or of its steps that
 // aren't done yet if `progress` is given.
@@ -46,13 +48,13 @@
 
 // Estimates are off by half, so only a part of the estimated work left counts: a job is ranked as late
 // only if it misses its objective by a good part of its work.
-auto timelinessOf(const QueueRule &queue, const JobSpec &spec, const Occurrence &occurrence,
-                  std::int64_t dueMs, std::int64_t nowMs) -> Timeliness
+auto timelinessOf(const QueueRule &queue, const OccurrenceSummary &summary, std::int64_t dueMs,
+                  std::int64_t nowMs) -> Timeliness
 {
     const auto objective = queue.objectiveMs
-        + static_cast<TimeMs>(queue.stretch * static_cast<double>(longestChain(spec, nullptr)));
-    const auto left = static_cast<TimeMs>(kCountedWorkFraction
-                                          * static_cast<double>(longestChain(spec, &occurrence)));
+        + static_cast<TimeMs>(queue.stretch * static_cast<double>(summary.chainMs));
+    const auto left =
+        static_cast<TimeMs>(kCountedWorkFraction * static_cast<double>(summary.chainLeftMs));
     if (nowMs + left <= dueMs + objective) {
         return Timeliness::OnTime;
     }
@@ -106,43 +108,68 @@
 // [SECTION] Ready steps
 //-----------------------------------------------------------------------------
 
+auto PoolScheduler::State::summarize(JobEntry &entry, std::int64_t number)
+    -> const OccurrenceSummary &
+{
+    auto &summary = entry.summaries[number];
+    if (std::exchange(summary.isCurrent, true)) {
+        return summary;
+    }
+    const auto &spec = entry.job.spec;
+    const auto [found, isNew] = entry.job.occurrences.try_emplace(number);
+    if (isNew) {
+        found->second = makeOccurrence(spec);
+    }
+    const auto &occurrence = found->second;
+    summary.ready.clear();
+    summary.isDone = isOccurrenceDone(occurrence);
+    if (summary.isDone) {
+        return summary;
+    }
+    summary.chainMs = longestChain(spec, nullptr);
+    summary.chainLeftMs = longestChain(spec, &occurrence);
+    summary.remaining = remainingWork(spec, occurrence);
+    for (std::int64_t step = 0; step < std::ssize(spec.steps); ++step) {
+        const auto  mayStart = [](const JobTask &task) { return !task.isDone && !task.isLive(); };
+        const auto &tasks = occurrence.steps[static_cast<std::size_t>(step)];
+        if (std::ranges::any_of(tasks, mayStart) && isStepReady(spec, occurrence, step)) {
+            summary.ready.push_back(step);
+        }
+    }
+    return summary;
+}
+
 auto PoolScheduler::State::findReadySteps(Moment now) -> std::vector<ReadyStep>
 {
     auto ready = std::vector<ReadyStep>();
     nextDueMs_ = 0;
-    for (const auto &id : active_) {
-        auto       &entry = jobs_.at(id);
-        auto       &job = entry.job;
-        const auto *queue = queueOf(entry);
+    for (const auto &[id, entry] : active_) {
+        const auto &job = entry->job;
+        const auto *queue = static_cast<const QueueRule *>(nullptr);
         for (std::int64_t number = 0; number < occurrenceCount(job.spec); ++number) {
             const auto due = occurrenceDueMs(job.spec, number);
             if (due > now.wallMs) {
                 nextDueMs_ = nextDueMs_ == 0 ? due : std::min(nextDueMs_, due);
                 break;
             }
-            auto [found, isNew] = job.occurrences.try_emplace(number);
-            if (isNew) {
-                found->second = makeOccurrence(job.spec);
-            }
-            const auto &occurrence = found->second;
-            if (isOccurrenceDone(occurrence)) {
+            const auto &summary = summarize(*entry, number);
+            if (summary.ready.empty()) {
                 continue;
             }
             auto step = ReadyStep{};
-            step.entry = &entry;
+            step.entry = entry;
             step.occurrence = number;
             step.dueMs = std::max(job.acceptedAtMs, due);
-            step.remaining = remainingWork(job.spec, occurrence);
+            step.remaining = summary.remaining;
+            queue = queue == nullptr ? queueOf(*entry) : queue;
             if (queue != nullptr) {
                 step.priority = queue->priority;
-                step.timeliness =
-                    timelinessOf(*queue, job.spec, occurrence, step.dueMs, now.wallMs);
+                step.timeliness = timelinessOf(*queue, summary, step.dueMs, now.wallMs);
             }
-            for (step.step = 0; step.step < std::ssize(job.spec.steps); ++step.step) {
-                step.isUnbounded = job.spec.steps[static_cast<std::size_t>(step.step)].isUnbounded;
-                if (isStepReady(job.spec, occurrence, step.step)) {
-                    ready.push_back(step);
-                }
+            for (const auto index : summary.ready) {
+                step.step = index;
+                step.isUnbounded = job.spec.steps[static_cast<std::size_t>(index)].isUnbounded;
+                ready.push_back(step);
             }
         }
     }
@@ -165,12 +192,22 @@
     tickedAt_ = now.steadyMs;
 }
 
+auto PoolScheduler::State::mayPlace(Moment now) const -> bool
+{
+    const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
+    return !isFenced_ && !isBlocked && !isOverloaded_ && maySendStarts(now);
+}
+
+// A round ranks all ready steps and places what it can. Rounds are spaced by their cost, which grows with the
+// jobs; in between, refills use capacity that becomes free, in the order of the last round.
 auto PoolScheduler::State::schedule(Moment now) -> void
 {
     const auto isDue = nextDueMs_ > 0 && now.wallMs >= nextDueMs_;
-    const auto isBlocked = batch_ && now.steadyMs - batch_->startedAt > kPlacementStallMs;
-    if ((!needsSchedule_ && !isDue) || isFenced_ || isBlocked || isOverloaded_
-        || !maySendStarts(now) || now.steadyMs < scheduleAt_) {
+    if (!mayPlace(now)) {
+        return;
+    }
+    if ((!needsSchedule_ && !isDue) || now.steadyMs < scheduleAt_) {
+        refill(now);
         return;
     }
     needsSchedule_ = false;
@@ -180,15 +217,32 @@
     activity_.ownerLimited = 0;
     scheduleAt_ =
         now.steadyMs + settings_.scheduleIntervalMs + std::ssize(active_) / kJobsPerIntervalMs;
-    unplaceable_.clear();
     tenantWanted_.clear();
     tenantCovered_.clear();
     wanted_ = {};
     wantedLate_ = {};
+    ownerLimited_ = {};
+    ownerLimitedLate_ = {};
     explanations_ = 0;
-    placed_ = 0;
-    const auto ready = findReadySteps(now);
-    if (ready.empty()) {
+    ready_ = findReadySteps(now);
+    placeReadySteps(now, false);
+}
+
+auto PoolScheduler::State::refill(Moment now) -> void
+{
+    if (needsRefill_ && now.steadyMs >= refillAt_ && !ready_.empty() && !isOwnerBusy()) {
+        placeReadySteps(now, true);
+    }
+}
+
+auto PoolScheduler::State::placeReadySteps(Moment now, bool isRefill) -> void
+{
+    refillAt_ = now.steadyMs + settings_.refillIntervalMs + std::ssize(ready_) / kStepsPerRefillMs;
+    isRefilling_ = isRefill;
+    unplaceable_.clear();
+    if (ready_.empty()) {
+        needsRefill_ = false;
+        areWorkersShort_ = false;
         return;
     }
     for (auto &[id, worker] : workers_) {
@@ -197,7 +251,13 @@
         }
     }
     capacityIndex_.sort();
-    for (const auto &step : ready) {
+    for (auto &step : ready_) {
+        if (isRefill && isOwnerBusy()) {
+            break;
+        }
+        if (step.entry->job.isOver()) {
+            continue;
+        }
         const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
         if (spec.isGang) {
             placeGang(now, step);
@@ -205,8 +265,34 @@
             placeStep(now, step);
         }
     }
+    if (!isRefill) {
+        checkFreeCapacity();
+    }
     capacityIndex_.clear();
-    needsSchedule_ = needsSchedule_ || isRoundFull();
+    std::erase_if(ready_, [](const ReadyStep &step) { return step.isPlaced; });
+    needsRefill_ = false;
+}
+
+// Tasks that wait for the owner need more workers only if the free ones can't take as many as the owner may
+// have unconfirmed: otherwise it can't use more.
+auto PoolScheduler::State::checkFreeCapacity() -> void
+{
+    std::int64_t freeCpu = 0;
+    for (const auto &entry : capacityIndex_.workersWith(0)) {
+        freeCpu += entry.freeCpu;
+    }
+    const auto limitedCpu = ownerLimited_.cpu + ownerLimitedLate_.cpu;
+    areWorkersShort_ = activity_.ownerLimited > 0
+        && freeCpu / settings_.maxUnconfirmedRuns < limitedCpu / activity_.ownerLimited;
+}
+
+// Counts a run no more as unconfirmed: its worker has it, it is over, or its first order wasn't answered.
+auto PoolScheduler::State::settleStart(RunState &run) -> void
+{
+    if (std::exchange(run.isPending, false)) {
+        --pendingRuns_;
+        needsRefill_ = true;
+    }
 }
 
 // Returns how many of these tasks the tenant's allowance covers, beyond what it uses and `planned`.
@@ -246,10 +332,22 @@
     return countWithinAllowance(tenant, need, 1, {}) > 0;
 }
 
+// Returns the sum that the waiting tasks of a step belong to. Those of expired jobs request no workers: they
+// take what is left, as workers that go to them are missing where a job can still be in time.
+auto PoolScheduler::State::demandOf(const ReadyStep &step) -> ResourceSet *
+{
+    if (step.isUnbounded || step.timeliness == Timeliness::OnTime) {
+        return isOwnerBusy() ? &ownerLimited_ : &wanted_;
+    }
+    if (step.timeliness == Timeliness::Late) {
+        return isOwnerBusy() ? &ownerLimitedLate_ : &wantedLate_;
+    }
+    return nullptr;
+}
+
 // Adds waiting tasks of a step to the demand. Tasks beyond their tenant's allowance count towards a
-// larger allowance, but not towards more workers. Neither do those of expired jobs: they take what is
-// left, as workers that go to them are missing where a job can still be in time.
-auto PoolScheduler::State::addDemand(const ReadyStep &step, std::int64_t tasks) -> void
+// larger allowance, but not towards more workers.
+auto PoolScheduler::State::addDemand(ReadyStep &step, std::int64_t tasks) -> void
 {
     if (tasks == 0) {
         return;
@@ -258,21 +356,28 @@
     const auto &tenant = step.entry->job.spec.tenant;
     tenantWanted_[tenant] += spec.need * tasks;
     activity_.waiting += tasks;
-    if (isRoundFull()) {
-        activity_.ownerLimited += tasks;
-        return; // These tasks wait for the owner, not for workers.
+    activity_.ownerLimited += isOwnerBusy() ? tasks : 0;
+    auto &planned = tenantCovered_[tenant];
+    step.counted = countWithinAllowance(tenant, spec.need, tasks, planned);
+    planned += spec.need * step.counted;
+    step.demand = demandOf(step);
+    if (step.demand != nullptr) {
+        *step.demand += capacityNeed(spec) * step.counted;
     }
-    auto      &planned = tenantCovered_[tenant];
-    const auto covered = countWithinAllowance(tenant, spec.need, tasks, planned);
-    planned += spec.need * covered;
-    if (step.isUnbounded || step.timeliness == Timeliness::OnTime) {
-        wanted_ += capacityNeed(spec) * covered;
-    } else if (step.timeliness == Timeliness::Late) {
-        wantedLate_ += capacityNeed(spec) * covered;
+}
+
+// Removes tasks from the demand that a refill has placed.
+auto PoolScheduler::State::removeDemand(ReadyStep &step, std::int64_t tasks) -> void
+{
+    const auto &spec = step.entry->job.spec.steps[static_cast<std::size_t>(step.step)];
+    const auto  removed = std::min(tasks, step.counted);
+    step.counted -= removed;
+    if (step.demand != nullptr) {
+        *step.demand -= capacityNeed(spec) * removed;
     }
 }
 
-auto PoolScheduler::State::placeStep(Moment now, const ReadyStep &step) -> void
+auto PoolScheduler::State::placeStep(Moment now, ReadyStep &step) -> void
 {
     auto       &entry = *step.entry;
     const auto &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
@@ -281,16 +386,18 @@
         entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
     auto         isBlocked = false; // Tasks of a step are alike: if one finds no worker, none does.
     std::int64_t waiting = 0;
+    std::int64_t placed = 0;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].isDone || tasks[index].isLive()) {
             continue;
         }
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
-        if (!isBlocked && !isRoundFull() && isWithinAllowance(tenant, spec.need)) {
+        if (!isBlocked && !isOwnerBusy() && isWithinAllowance(tenant, spec.need)) {
             auto *worker = isKnownUnplaceable(entry, ref) ? nullptr : chooseWorker(now, entry, ref);
             if (worker != nullptr) {
                 placeTask(now, step, ref, *worker);
+                ++placed;
                 continue;
             }
             if (!spec.isUnbounded && spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
@@ -304,17 +411,29 @@
         isBlocked = true;
         ++waiting;
     }
-    addDemand(step, waiting);
+    step.isPlaced = waiting == 0;
+    if (isRefilling_) {
+        removeDemand(step, placed);
+    } else {
+        addDemand(step, waiting);
+    }
 }
 
 // Places all members of a gang, or none.
-auto PoolScheduler::State::placeGang(Moment now, const ReadyStep &step) -> void
+auto PoolScheduler::State::placeGang(Moment now, ReadyStep &step) -> void
 {
     auto &entry = *step.entry;
     auto &tasks =
         entry.job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
     const auto isAnyLive = std::ranges::any_of(tasks, &JobTask::isLive);
-    if (isRoundFull() || isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone)) {
+    step.isPlaced = isAnyLive || std::ranges::all_of(tasks, &JobTask::isDone);
+    if (step.isPlaced) {
+        return;
+    }
+    if (isOwnerBusy()) {
+        if (!isRefilling_) {
+            addDemand(step, std::ssize(tasks));
+        }
         return;
     }
     const auto  &spec = entry.job.spec.steps[static_cast<std::size_t>(step.step)];
@@ -344,10 +463,14 @@
     for (const auto &[worker, ref] : placed) {
         release(*worker, ref);
     }
+    step.isPlaced = isComplete;
     if (!isComplete) {
-        addDemand(step, std::ssize(tasks));
+        if (!isRefilling_) {
+            addDemand(step, std::ssize(tasks));
+        }
         return;
     }
+    removeDemand(step, std::ssize(tasks));
     for (const auto &[worker, ref] : placed) {
         auto &task = tasks[static_cast<std::size_t>(ref.index)];
         task.run = run;
@@ -509,17 +632,19 @@
     task.worker = worker.peer.id;
     task.phase = RunPhase::Recording;
     task.changedAt = now.steadyMs;
+    entry.summaries[ref.occurrence].isCurrent = false;
     auto run = RunState{};
     run.run = task.run;
     run.need = capacityNeed(stepOf(entry, ref));
     run.isExpired = !step.isUnbounded && step.timeliness == Timeliness::Expired;
+    run.isPending = true;
+    ++pendingRuns_;
     allocate(worker, ref, run);
     if (entry.job.state == JobState::Queued) {
         entry.job.state = JobState::Running;
         markChanged(entry.job.spec.id);
     }
     logRunEvent("run.placed", ref, run.run, worker.peer.id, "");
-    ++placed_;
     ++activity_.placed;
     markChanged(ref);
     afterAppend(StartEffect{ref, task.run, worker.peer.id});
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -170,7 +170,7 @@
     auto activity = std::exchange(state_->activity_, {});
     state_->activity_.waiting = activity.waiting;
     state_->activity_.ownerLimited = activity.ownerLimited;
-    activity.unconfirmed = state_->countUnconfirmed();
+    activity.unconfirmed = state_->pendingRuns_;
     return activity;
 }
 
@@ -190,9 +190,9 @@
 
 auto PoolScheduler::countPending(std::string_view queue) const -> std::int64_t
 {
-    return std::ranges::count_if(state_->active_, [&](const std::string &id) {
-        const auto &entry = state_->jobs_.at(id);
-        return entry.isRecorded && entry.job.spec.queue == queue && !entry.hasBegun;
+    return std::ranges::count_if(state_->active_, [&](const auto &item) {
+        const auto &entry = *item.second;
+        return entry.isRecorded && !entry.hasBegun && entry.job.spec.queue == queue;
     });
 }
 
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -49,12 +49,13 @@
     TimeMs maxViewAgeMs = 5'500;
     TimeMs flushIntervalMs = 10;   // Least time between appends, so that changes are batched.
     TimeMs scheduleIntervalMs = 5; // Least time between placement rounds. Grows with the jobs.
+    TimeMs refillIntervalMs = 5;   // Least time between refills. Grows with the steps that wait.
     // An owner whose ticks come this late is overloaded. It places nothing more until it has caught up with the
     // answers of workers, as leases of runs that it can't follow expire.
     TimeMs maxTickGapMs = 80;
-    // Tasks placed in a round. Rounds are further apart the more jobs there are, so an owner with 1,000 jobs
-    // starts 1,200 tasks a second: about what half a core can follow.
-    std::int64_t maxPlacedPerRound = 128;
+    // Runs placed and not confirmed by their workers yet. An owner that is late with answers starts less, whatever
+    // its backlog.
+    std::int64_t maxUnconfirmedRuns = 256;
     // Ends of runs are fetched together if there are many: a worker is asked again 1 ms later per this many
     // runs of the pool, at most maxEndDelayMs later.
     int          runsPerEndDelayMs = 40;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -30,17 +30,20 @@
     bool         isRecorded = false;  // The journal has it, so its start order may be sent.
     bool         isSent = false;      // The start order was sent at least once.
     bool         isConfirmed = false; // The worker has it.
+    bool         isPending = false;   // Counts as unconfirmed: its first order isn't settled.
     TimeMs       confirmedAt = 0;
     bool         isRestored = false;      // From the journal; not yet seen in a worker's listing.
     bool         isStopping = false;      // A stop was requested.
     bool         isStopConfirmed = false; // The run can't start any more.
     TimeMs       stopConfirmedAt = 0;
     bool         isOrderInFlight = false;
-    TimeMs       retryAt = 0;  // Earliest time of the next order.
-    int          attempts = 0; // Start orders sent.
-    std::int64_t percent = 0;  // Percent of full speed, as last listed: see RunningRow.
-    std::int64_t usage = 0;    // As last listed: see RunningRow.
-    std::int64_t pace = 100;   // Percent of full speed, as last ordered. Only for fillers.
+    TimeMs       retryAt = 0;         // Earliest time of the next order.
+    int          attempts = 0;        // Start orders sent.
+    std::int64_t percent = 0;         // Percent of full speed, as last listed: see RunningRow.
+    std::int64_t usage = 0;           // As last listed: see RunningRow.
+    std::int64_t pace = 100;          // Percent of full speed, as last ordered. Only for fillers.
+    bool         isUnbounded = false; // Of its step.
+    std::int64_t listing = 0;         // Number of the last listing of the worker that had it.
 };
 
 // This owner's state of one worker of the pool.
@@ -57,6 +60,7 @@
     std::int64_t                unboundedCpu = 0;
     std::int64_t                expiredCpu = 0; // Occupied by timed tasks placed as expired.
     std::int64_t                servingTasks = 0;
+    std::int64_t                fillerTasks = 0;
     std::map<TaskRef, RunState> runs;
     std::int64_t startedAtMs = kNoStartedAt; // Start of the incarnation that answered last.
     std::int64_t seenEnd = 0;                // Number of the last ended run read. 0: none.
@@ -68,6 +72,8 @@
     TimeMs       lastHeldAt = 0;             // Last answered hold.
     int          holdFailures = 0;           // In a row. Above 0 the worker counts as silent.
     int          consecutiveFailures = 0;    // Failed runs in a row.
+    std::int64_t listings = 0;               // Listings read.
+    bool         mayOweOrders = false;       // A run may need a start or stop order.
     TimeMs       backoffUntil = 0;           // Gets no new runs before.
 
     auto freeCapacity() const -> ResourceSet; // Capacity that isn't in use.
@@ -109,6 +115,16 @@
 // [SECTION] Batches
 //-----------------------------------------------------------------------------
 
+// What placement needs of an occurrence. Worked out anew after its progress has changed.
+struct OccurrenceSummary {
+    bool         isCurrent = false;
+    bool         isDone = false;
+    TimeMs       chainMs = 0;        // Estimated critical path of the job, see longestChain().
+    TimeMs       chainLeftMs = 0;    // The same of the steps that aren't done.
+    std::int64_t remaining = 0;      // See remainingWork().
+    std::vector<std::int64_t> ready; // Steps with tasks that could start now.
+};
+
 // A job, and what the journal has of it.
 struct JobEntry {
     Job      job;
@@ -116,6 +132,7 @@
     bool     isRecorded = false;          // The journal has the job.
     bool     hasBegun = false;            // A worker has confirmed a run, or a run has ended.
     TimeMs   nextExplainAt = 0;           // Earliest time of the next log event on why it waits.
+    std::map<std::int64_t, OccurrenceSummary> summaries = {}; // By number of the occurrence.
 };
 
 // Effects of a batch. They are applied once the journal has it.
@@ -178,9 +195,12 @@
     std::int64_t step = 0;
     bool         isUnbounded = false;
     Timeliness   timeliness = Timeliness::OnTime;
-    std::int64_t priority = 0;  // Priority of its queue. 0 goes first.
-    std::int64_t remaining = 0; // Work left in the occurrence, in core-milliseconds.
-    std::int64_t dueMs = 0;     // Wall clock. When its latency starts to count.
+    std::int64_t priority = 0;     // Priority of its queue. 0 goes first.
+    std::int64_t remaining = 0;    // Work left in the occurrence, in core-milliseconds.
+    std::int64_t dueMs = 0;        // Wall clock. When its latency starts to count.
+    std::int64_t counted = 0;      // Tasks of it in the demand.
+    ResourceSet *demand = nullptr; // Sum that has them. Nothing: none has.
+    bool         isPlaced = false; // No task of it waits.
 };
 
 class PoolScheduler::State
@@ -232,9 +252,10 @@
     auto onStopped(Moment now, const SendStop &sent, const OrderReply &reply) -> void;
     auto onHoldReply(Moment now, const SendHold &sent, const HoldReply &reply) -> void;
     auto readEnds(Moment now, Worker &worker, const HoldReply &reply) -> void;
-    auto readRunning(Moment now, Worker &worker, const HoldReply &reply) -> std::set<TaskRef>;
+    auto readRunning(Moment now, Worker &worker, const HoldReply &reply) -> void;
     auto sendHold(Moment now, Worker &worker) -> void;
     auto tickWorker(Moment now, Worker &worker) -> void;
+    auto sendDueOrders(Moment now, Worker &worker) -> void;
     auto controlPace(Worker &worker) -> void;
     auto maySendStarts(Moment now) const -> bool;
     auto isViewFresh(Moment now) const -> bool;
@@ -249,24 +270,32 @@
     static auto hasJustAnswered(Moment now, const Worker &worker) -> bool;
 
     // Placement (placement.cpp)
-    auto noteTick(Moment now) -> void;
-    auto schedule(Moment now) -> void;
-    auto findReadySteps(Moment now) -> std::vector<ReadyStep>;
-    auto placeStep(Moment now, const ReadyStep &step) -> void;
-    auto placeGang(Moment now, const ReadyStep &step) -> void;
-    auto chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
-    auto isAllowed(Moment now, const Worker &worker, const JobEntry &entry,
-                   const TaskRef &ref) const -> bool;
-    auto isKnownUnplaceable(const JobEntry &entry, const TaskRef &ref) const -> bool;
-    auto explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
-    auto reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
+    auto        noteTick(Moment now) -> void;
+    auto        schedule(Moment now) -> void;
+    auto        mayPlace(Moment now) const -> bool;
+    auto        refill(Moment now) -> void;
+    auto        placeReadySteps(Moment now, bool isRefill) -> void;
+    auto        checkFreeCapacity() -> void;
+    auto        settleStart(RunState &run) -> void;
+    auto        findReadySteps(Moment now) -> std::vector<ReadyStep>;
+    static auto summarize(JobEntry &entry, std::int64_t number) -> const OccurrenceSummary &;
+    auto        placeStep(Moment now, ReadyStep &step) -> void;
+    auto        placeGang(Moment now, ReadyStep &step) -> void;
+    auto        chooseWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
+    auto        isAllowed(Moment now, const Worker &worker, const JobEntry &entry,
+                          const TaskRef &ref) const -> bool;
+    auto        isKnownUnplaceable(const JobEntry &entry, const TaskRef &ref) const -> bool;
+    auto        explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
+    auto        reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto placeTask(Moment now, const ReadyStep &step, const TaskRef &ref, Worker &worker) -> void;
     auto isWithinAllowance(const std::string &tenant, const ResourceSet &need) const -> bool;
-    auto addDemand(const ReadyStep &step, std::int64_t tasks) -> void;
+    auto addDemand(ReadyStep &step, std::int64_t tasks) -> void;
+    auto removeDemand(ReadyStep &step, std::int64_t tasks) -> void;
+    auto demandOf(const ReadyStep &step) -> ResourceSet *; // Nothing: it requests no workers.
     auto countWithinAllowance(const std::string &tenant, const ResourceSet &need,
                               std::int64_t tasks, const ResourceSet &planned) const -> std::int64_t;
     auto addUnplaceable(const ResourceSet &need) -> void;
-    auto isRoundFull() const -> bool { return placed_ >= settings_.maxPlacedPerRound; }
+    auto isOwnerBusy() const -> bool { return pendingRuns_ >= settings_.maxUnconfirmedRuns; }
     auto endDelay() const -> TimeMs; // Until ended runs of a worker are fetched again.
     auto findTightestFit(Moment now, const JobEntry &entry, const TaskRef &ref) -> Worker *;
 
@@ -276,7 +305,6 @@
     auto drainCordoned(Moment now) -> void;
     auto mayEvict(Moment now, const TaskRef &ref) -> bool;
 
-    auto countUnconfirmed() const -> std::int64_t;
     auto queueOf(const JobEntry &entry) const -> const QueueRule *;
     auto logRunEvent(std::string_view event, const TaskRef &task, std::int64_t run,
                      const std::string &worker, std::string detail) -> void;
@@ -293,15 +321,19 @@
     std::vector<ResourceSet>                     unplaceable_;      // Needs that fit nowhere now.
     CapacityIndex                                capacityIndex_;    // Empty between rounds.
     int                                          explanations_ = 0; // Logged in this round.
-    std::int64_t                                 placed_ = 0;       // Tasks placed in this round.
-    std::int64_t                                 liveRuns_ = 0;     // On all workers.
-    TimeMs                                       tickedAt_ = 0;     // Last tick. 0: none yet.
+    std::vector<ReadyStep>                       ready_; // As the last round ranked them.
+    bool                                         needsRefill_ = false;
+    TimeMs                                       refillAt_ = 0; // Earliest time of a refill.
+    bool                                         isRefilling_ = false;
+    std::int64_t                                 pendingRuns_ = 0;      // Those with isPending.
+    std::int64_t                                 liveRuns_ = 0;         // On all workers.
+    TimeMs                                       tickedAt_ = 0;         // Last tick. 0: none yet.
     bool                                         isOverloaded_ = false; // Ticks come late.
     std::set<std::string>                        workersToTick_;        // Ticked by advance().
     // When the next occurrence is due, on the wall clock. 0: none is known.
     std::int64_t                                 nextDueMs_ = 0;
     std::map<std::string, JobEntry, std::less<>> jobs_;          // By id.
-    std::set<std::string>                        active_;        // Ids of jobs that aren't over.
+    std::map<std::string, JobEntry *>            active_;        // Jobs that aren't over, by id.
     std::map<std::string, Worker, std::less<>>   workers_;       // By id.
     std::map<std::string, ResourceSet>           tenantUsed_;    // Needs of placed tasks.
     std::map<std::string, ResourceSet>           tenantWanted_;  // Needs of ready tasks that wait.
@@ -309,9 +341,12 @@
     std::map<std::string, ResourceSet>           allowances_;    // By tenant. Missing: zero.
     std::map<std::string, TimeMs>                cordoned_;      // Start of the cordon, by worker.
     // Needs of tasks that lack only a worker, by how their jobs stand against their objectives.
-    ResourceSet                                  wanted_;          // On time, and unbounded ones.
-    ResourceSet                                  wantedLate_;      // Late, but still of use.
-    std::set<std::string>                        reservedWorkers_; // Kept for unbounded tasks.
+    ResourceSet                                  wanted_;     // On time, and unbounded ones.
+    ResourceSet                                  wantedLate_; // Late, but still of use.
+    ResourceSet ownerLimited_;              // On time, and unbounded ones, that wait for the owner.
+    ResourceSet ownerLimitedLate_;          // Late, but still of use, that wait for the owner.
+    bool        areWorkersShort_ = false;   // The last round left too little capacity for those.
+    std::set<std::string> reservedWorkers_; // Kept for unbounded tasks.
     // Progress to record: numbers of records, by job. The first record is written last, as that of an earlier
     // version may have rows of the others.
     std::map<std::string, std::set<std::int64_t, std::greater<>>> changed_;
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -41,10 +41,12 @@
         }
         auto [found, isNew] = workers_.try_emplace(id);
         auto &worker = found->second;
-        worker.report = report;
-        worker.peer = {id, report.address};
+        if (isNew || worker.report != report) {
+            worker.report = report;
+            worker.peer = {id, report.address};
+        }
         worker.isListed = true;
-        worker.isCordoned = cordoned_.contains(id);
+        worker.isCordoned = !cordoned_.empty() && cordoned_.contains(id);
         if (isNew) {
             worker.nextHoldAt = now.steadyMs;
         }
@@ -55,17 +57,6 @@
     needsSchedule_ = true;
 }
 
-auto PoolScheduler::State::countUnconfirmed() const -> std::int64_t
-{
-    std::int64_t count = 0;
-    for (const auto &[id, worker] : workers_) {
-        count += std::ranges::count_if(worker.runs, [](const auto &item) {
-            return !item.second.isConfirmed && !item.second.isRestored;
-        });
-    }
-    return count;
-}
-
 auto PoolScheduler::State::isUsable(Moment now, const Worker &worker) const -> bool
 {
     return mayStartOn(worker) && worker.holdFailures == 0 && !worker.isCordoned
@@ -101,8 +92,12 @@
     worker.unboundedCpu += step.isUnbounded ? run.need.cpu : 0;
     worker.expiredCpu += run.isExpired ? run.need.cpu : 0;
     worker.servingTasks += isServing(step) ? 1 : 0;
+    worker.fillerTasks += step.isFiller ? 1 : 0;
+    worker.mayOweOrders = true;
     tenantUsed_[entry.job.spec.tenant] += step.need;
-    worker.runs[ref] = run;
+    auto &added = worker.runs[ref];
+    added = run;
+    added.isUnbounded = step.isUnbounded;
     ++liveRuns_;
     capacityIndex_.update(worker, freeBefore);
 }
@@ -119,7 +114,10 @@
     worker.unboundedCpu -= step.isUnbounded ? run.need.cpu : 0;
     worker.expiredCpu -= run.isExpired ? run.need.cpu : 0;
     worker.servingTasks -= isServing(step) ? 1 : 0;
+    worker.fillerTasks -= step.isFiller ? 1 : 0;
     tenantUsed_[entry.job.spec.tenant] -= step.need;
+    settleStart(held->second);
+    needsRefill_ = true;
     worker.runs.erase(held);
     --liveRuns_;
     capacityIndex_.update(worker, freeBefore);
@@ -223,6 +221,7 @@
         return nullptr;
     }
     held->second.isOrderInFlight = false;
+    settleStart(held->second);
     return &worker;
 }
 
@@ -244,7 +243,7 @@
             task->phase = RunPhase::Running;
             task->changedAt = now.steadyMs;
         }
-        worker->nextHoldAt = std::min(worker->nextHoldAt, now.steadyMs);
+        worker->nextHoldAt = std::min(worker->nextHoldAt, now.steadyMs + endDelay());
         logRunEvent("run.started", sent.order.task, run.run, worker->peer.id, "");
         return;
     }
@@ -280,6 +279,7 @@
         task->phase = RunPhase::Stopping;
     }
     run.isStopping = true;
+    worker.mayOweOrders = true;
     sendStop(worker, ref, run);
 }
 
@@ -375,13 +375,13 @@
     worker.holdFailures = 0;
     worker.lastHeldAt = now.steadyMs;
     readEnds(now, worker, reply);
-    const auto listed = readRunning(now, worker, reply);
+    readRunning(now, worker, reply);
     if (reply.ended.size() < kFullPage) {
         auto missing = std::vector<TaskRef>();
         for (const auto &[ref, run] : worker.runs) {
             const auto wasConfirmed = run.isConfirmed && run.confirmedAt < sent.sentAt;
             const auto isVoided = run.isStopConfirmed && run.stopConfirmedAt < sent.sentAt;
-            if (!listed.contains(ref) && (wasConfirmed || isVoided || run.isRestored)) {
+            if (run.listing != worker.listings && (wasConfirmed || isVoided || run.isRestored)) {
                 missing.push_back(ref);
             }
         }
@@ -420,11 +420,10 @@
     }
 }
 
-// Updates runs from a worker's listing and stops unexpected ones. Returns the expected tasks in it.
-auto PoolScheduler::State::readRunning(Moment now, Worker &worker, const HoldReply &reply)
-    -> std::set<TaskRef>
+// Updates runs from a worker's listing and stops unexpected ones.
+auto PoolScheduler::State::readRunning(Moment now, Worker &worker, const HoldReply &reply) -> void
 {
-    auto listed = std::set<TaskRef>();
+    ++worker.listings;
     for (const auto &row : reply.running) {
         const auto held = worker.runs.find(row.task);
         if (held == worker.runs.end() || held->second.run != row.run) {
@@ -432,10 +431,13 @@
             actions_.push_back(SendStop{worker.peer, {row.task, row.run, identity_.token}});
             continue;
         }
-        listed.insert(row.task);
         auto &run = held->second;
+        run.listing = worker.listings;
         run.percent = row.percent;
         run.usage = row.usage;
+        if (run.isConfirmed && !run.isRestored && row.checkpoint.empty()) {
+            continue; // Nothing about its job is new.
+        }
         auto &entry = jobs_.at(row.task.job);
         entry.hasBegun = true;
         auto *task = findTask(entry.job, row.task);
@@ -443,6 +445,7 @@
         if (!run.isConfirmed) {
             run.isConfirmed = true;
             run.confirmedAt = now.steadyMs;
+            settleStart(run);
         }
         if (std::exchange(run.isRestored, false) && !run.isStopping) {
             task->phase = RunPhase::Running;
@@ -451,13 +454,15 @@
             }
         }
     }
-    return listed;
 }
 
 // Slows fillers down while the latency of a serving task on the worker is near its target, and speeds
 // them up once it is far below.
 auto PoolScheduler::State::controlPace(Worker &worker) -> void
 {
+    if (worker.fillerTasks == 0) {
+        return;
+    }
     auto load = 0.0; // Latency of the worst serving task, as a part of its target.
     for (const auto &[ref, run] : worker.runs) {
         const auto &step = stepOf(jobs_.at(ref.job), ref);
@@ -494,15 +499,32 @@
     if (worker.peer.address.empty()) {
         return;
     }
+    if (worker.mayOweOrders) {
+        sendDueOrders(now, worker);
+    }
+    const auto needsHold = !worker.runs.empty() || (worker.isListed && !worker.hasAnsweredHold)
+        || worker.seenEnd > worker.recordedEnd || worker.holdFailures > 0;
+    if (!worker.isHoldInFlight && needsHold && now.steadyMs >= worker.nextHoldAt) {
+        sendHold(now, worker);
+    }
+}
+
+auto PoolScheduler::State::sendDueOrders(Moment now, Worker &worker) -> void
+{
+    worker.mayOweOrders = false;
     auto due = std::vector<TaskRef>();
     auto unsent = std::vector<TaskRef>();
     for (const auto &[ref, run] : worker.runs) {
+        const auto needsOrder =
+            run.isStopping ? !run.isStopConfirmed : !run.isSent || !run.isConfirmed;
+        worker.mayOweOrders = worker.mayOweOrders || needsOrder;
         if (run.isRecorded && !run.isSent) {
             unsent.push_back(ref);
             continue;
         }
-        const auto needsOrder =
-            run.isStopping ? !run.isStopConfirmed : run.isSent && !run.isConfirmed;
+        if (!run.isSent) {
+            continue;
+        }
         if (needsOrder && !run.isOrderInFlight && !run.isRestored && now.steadyMs >= run.retryAt) {
             due.push_back(ref);
         }
@@ -520,11 +542,6 @@
     for (const auto &ref : unsent) {
         startRecorded(now, worker, ref);
     }
-    const auto needsHold = !worker.runs.empty() || (worker.isListed && !worker.hasAnsweredHold)
-        || worker.seenEnd > worker.recordedEnd || worker.holdFailures > 0;
-    if (!worker.isHoldInFlight && needsHold && now.steadyMs >= worker.nextHoldAt) {
-        sendHold(now, worker);
-    }
 }
 
 } // namespace peridotwalk
--- a/src/services/services.h
+++ b/src/services/services.h
@@ -108,6 +108,8 @@
     bool                  isDraining = false;
     TimeMs                drainRemainingMs = 0; // Least time until it shuts down, in ms. Not used.
     std::int64_t          startedAtMs = 0;      // Start of the worker, wall clock. 0: not reported.
+
+    auto operator==(const WorkerReport &) const -> bool = default;
 };
 
 // Return ok, or an error that names what is out of range. Any writer may leave entries in the directory, so
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -579,6 +579,42 @@
     cr_assert_leq(run(60'000), 17); // The pool keeps enough to go on.
 }
 
+// Guards against SHORT: machines left a pool whose backlog waited for its owner.
+Test(planner, a_backlog_that_waits_for_the_owner_keeps_machines_and_requests_none)
+{
+    constexpr auto kMachines = 100;
+    auto           fleet = Fleet(kMachines);
+    for (std::size_t number = 0; number < kMachines; ++number) {
+        fleet.worker(number).runs = number < 20 ? 1 : 0;
+        fleet.worker(number).cpu = number < 20 ? 60'000 : 0;
+    }
+    fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
+    fleet.run(3'000);
+    cr_assert(fleet.moved.empty());
+    fleet.report().ownerLimited = {};
+    fleet.run(3'000);
+    cr_assert(!fleet.moved.empty());
+    std::ranges::for_each(fleet.moved,
+                          [](const auto &move) { cr_assert_eq(move.pool, "standby"); });
+}
+
+// Free machines serve tasks that lack workers rather than those that wait for their owner.
+Test(planner, a_pool_that_waits_for_its_owner_leaves_another_one_its_part)
+{
+    constexpr auto kMachines = 100;
+    auto           fleet = Fleet(kMachines);
+    for (std::size_t number = 0; number < kMachines; ++number) {
+        fleet.worker(number).runs = number < 20 ? 1 : 0;
+        fleet.worker(number).cpu = number < 20 ? 60'000 : 0;
+    }
+    fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
+    auto other = makeReport("q", 0, 0, 0);
+    other.wanted = {64'000 * 50, 0, 0};
+    fleet.runBeside(other, 30);
+    cr_assert_geq(fleet.moved.size(), 25U);
+    cr_assert_leq(fleet.moved.size(), 50U);
+}
+
 // In a trough, one large job needs several machines. The peak of another pool's burst is hundreds.
 Test(planner, a_large_job_in_a_trough_is_no_burst)
 {
