--- a/src/http/json_call.h
+++ b/src/http/json_call.h
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace peridotwalk {
@@ -111,10 +112,27 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+// Returns a text as JSON.
+inline auto quoteJson(std::string_view text) -> std::string
+{
+    const auto isPlain = [](char letter) {
+        return letter >= ' ' && letter <= '~' && letter != '"' && letter != '\\';
+    };
+    return std::ranges::all_of(text, isPlain) ? fmt::format("\"{}\"", text) : dumpJson(text);
+}
+
+inline auto postJsonText(std::string path, std::string body, TimeMs timeoutMs) -> HttpCall
+{
+    return {"POST",
+            std::move(path),
+            {{"Content-Type", "application/json"}},
+            std::move(body),
+            timeoutMs};
+}
+
 inline auto postJson(std::string path, const Json &body, TimeMs timeoutMs) -> HttpCall
 {
-    return {
-        "POST", std::move(path), {{"Content-Type", "application/json"}}, dumpJson(body), timeoutMs};
+    return postJsonText(std::move(path), dumpJson(body), timeoutMs);
 }
 
 } // namespace peridotwalk
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -178,8 +178,16 @@
 
 auto NodeMetrics::addOrder(const std::string &order, CallOutcome outcome, TimeMs tookMs) -> void
 {
-    orders_.Add({{"order", order}, {"outcome", outcomeName(outcome)}}).Increment();
-    observe(orderSeconds_, {{"order", order}}, tookMs);
+    auto &metrics = orderMetrics_[order];
+    if (metrics.seconds == nullptr) {
+        metrics.seconds = &orderSeconds_.Add({{"order", order}}, latencyBuckets());
+    }
+    auto &counter = metrics.outcomes[outcome];
+    if (counter == nullptr) {
+        counter = &orders_.Add({{"order", order}, {"outcome", outcomeName(outcome)}});
+    }
+    counter->Increment();
+    metrics.seconds->Observe(static_cast<double>(tookMs) / kMsPerSecond);
 }
 
 auto NodeMetrics::addTakeover(TimeMs tookMs) -> void
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -48,6 +48,12 @@
     using Counters = prometheus::Family<prometheus::Counter>;
     using Histograms = prometheus::Family<prometheus::Histogram>;
 
+    // Handles of one kind of order: looking them up by labels takes microseconds.
+    struct OrderMetrics {
+        std::map<CallOutcome, prometheus::Counter *> outcomes;
+        prometheus::Histogram                       *seconds = nullptr;
+    };
+
     auto observe(Histograms &family, const prometheus::Labels &labels, TimeMs tookMs) -> void;
 
     std::shared_ptr<prometheus::Registry> registry_;
@@ -58,6 +64,7 @@
     Histograms                           &appendSeconds_;
     Histograms                           &orderSeconds_;
     Histograms                           &takeoverSeconds_;
+    std::map<std::string, OrderMetrics>   orderMetrics_; // By order.
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -261,7 +261,8 @@
     auto fence() -> void;
     auto readJournal() -> void;
     auto onJournal(const std::vector<KeyedRecord> &records) -> void;
-    auto run() -> void;      // Lets the scheduler react to an event.
+    auto run() -> void;      // Lets the scheduler react to an event at once.
+    auto runSoon() -> void;  // The same, once for all events of a round of the loop.
     auto carryOut() -> void; // Performs the scheduler's actions.
     auto perform(AppendJournal &action) -> void;
     auto perform(AnswerCaller &action) -> void;
@@ -286,6 +287,7 @@
     std::map<std::int64_t, PoolAnswerSlot> pendingCalls_; // Calls without an answer, by handle.
     std::map<std::string, Adoption>        adoptions_;    // By queue.
     bool                                   isRunning_ = false; // run() is active.
+    bool                                   isRunDue_ = false;  // runSoon() has posted a run().
     std::shared_ptr<bool>                  isAlive_ =
         std::make_shared<bool>(true); // False: destroyed, so late answers are dropped.
 };
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -424,6 +424,25 @@
     isRunning_ = false;
 }
 
+// A busy owner gets dozens of answers in a round of the loop. Orders that an answer releases leave at once.
+auto PoolTask::runSoon() -> void
+{
+    if (!isRunning_) {
+        isRunning_ = true;
+        carryOut();
+        isRunning_ = false;
+    }
+    if (std::exchange(isRunDue_, true)) {
+        return;
+    }
+    loop_.post([this, alive = isAlive_] {
+        if (*alive) {
+            isRunDue_ = false;
+            run();
+        }
+    });
+}
+
 auto PoolTask::tick() -> void
 {
     if (!scheduler_) {
@@ -456,7 +475,7 @@
         [this, alive = isAlive_, sequence = action.sequence](CallOutcome outcome) {
             if (*alive) {
                 scheduler_->onAppended(readMoment(), sequence, outcome);
-                run();
+                runSoon();
             }
         });
 }
@@ -474,11 +493,15 @@
 
 auto PoolTask::perform(SendStart &action) -> void
 {
+    // The scheduler only needs to know which run was started where.
+    auto sent = SendStart{action.worker, {}};
+    sent.order.task = action.order.task;
+    sent.order.run = action.order.run;
     services_.workers.start(action.worker, action.order,
-                            [this, alive = isAlive_, action](const OrderReply &reply) {
+                            [this, alive = isAlive_, sent](const OrderReply &reply) {
                                 if (*alive) {
-                                    scheduler_->onStarted(readMoment(), action, reply);
-                                    run();
+                                    scheduler_->onStarted(readMoment(), sent, reply);
+                                    runSoon();
                                 }
                             });
 }
@@ -489,7 +512,7 @@
                            [this, alive = isAlive_, action](const OrderReply &reply) {
                                if (*alive) {
                                    scheduler_->onStopped(readMoment(), action, reply);
-                                   run();
+                                   runSoon();
                                }
                            });
 }
@@ -507,7 +530,7 @@
                            [this, alive = isAlive_, action](const HoldReply &reply) {
                                if (*alive) {
                                    scheduler_->onHoldReply(readMoment(), action, reply);
-                                   run();
+                                   runSoon();
                                }
                            });
 }
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -328,6 +328,58 @@
     }
 }
 
+// The scanner takes the usual form of a listing. Whatever else may be valid is left to the JSON library.
+Test(platform, a_listing_is_scanned_as_a_document_or_not_at_all)
+{
+    const auto body = std::string(R"({"clockMs":482113, "born":17,
+        "running":[["5c0e7a21d94b36f8.0.1.17",2,"00ab",41],["a.1.0.3",1,"",100,7]],
+        "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"b",3,"odd","c"]]})");
+    const auto reply = scanHoldReply(body);
+    cr_assert(reply.has_value());
+    cr_assert(reply->outcome == CallOutcome::Done);
+    cr_assert_eq(reply->clockMs, 482'113);
+    cr_assert_eq(reply->startedAtMs, 17);
+    cr_assert_eq(reply->running.size(), 2U);
+    cr_assert(reply->running[0].task == (TaskRef{"5c0e7a21d94b36f8", 0, 1, 17}));
+    cr_assert_eq(reply->running[0].run, 2);
+    cr_assert_eq(reply->running[0].checkpoint, "00ab");
+    cr_assert_eq(reply->running[0].percent, 41);
+    cr_assert_eq(reply->running[1].usage, 7);
+    cr_assert_eq(reply->ended.size(), 2U);
+    cr_assert_eq(reply->ended[0].number, 58);
+    cr_assert(reply->ended[0].end == RunEnd::Done);
+    cr_assert(reply->ended[1].task == (TaskRef{"b", 0, 0, 0}));
+    cr_assert(reply->ended[1].end == RunEnd::LeaseExpired);
+    cr_assert_eq(reply->ended[1].checkpoint, "c");
+    cr_assert(scanHoldReply(R"({"running":[],"finished":[],"clockMs":-5})").has_value());
+    for (std::size_t size = 0; size < body.size(); ++size) {
+        cr_assert(!scanHoldReply(body.substr(0, size)).has_value(), "%zu bytes", size);
+    }
+    for (const auto &other : {R"({"clockMs":1.5,"running":[],"finished":[]})",
+                              R"({"clockMs":1e3,"running":[],"finished":[]})",
+                              R"({"clockMs":01,"running":[],"finished":[]})",
+                              R"({"clockMs":99999999999999999999,"running":[],"finished":[]})",
+                              R"({"clockMs":1,"running":[],"finished":[],"more":1})",
+                              R"({"clockMs":1,"clockMs":2,"running":[],"finished":[]})",
+                              R"({"clockMs":1,"running":[["a\\u0041",1,"",1]],"finished":[]})",
+                              R"({"clockMs":1,"running":[],"finished":[]}x)",
+                              R"({"clockMs":1,"running":[],"finished":[[1,"a",1,"done",""],]})",
+                              R"({"clockMs":"1","running":[],"finished":[]})",
+                              R"({"clockMs":1,"running":[["a",1,"",1,2,3]],"finished":[]})",
+                              R"({"clockMs":1,"finished":[]})", "{}", "[]", ""}) {
+        cr_assert(!scanHoldReply(other).has_value(), "%s", other);
+    }
+}
+
+Test(platform, texts_are_quoted_as_by_the_json_library)
+{
+    for (const auto &text :
+         {std::string("plain"), std::string("a\"b\\c\nd"), std::string("gr\xc3\xb6\xc3\x9f"),
+          std::string("\xff"), std::string(1, '\0'), std::string()}) {
+        cr_assert_eq(quoteJson(text), dumpJson(text));
+    }
+}
+
 Test(platform, an_odd_machine_is_left_out_of_the_list)
 {
     const auto good = Json{{"machine", "m0"}, {"pool", "p"},           {"state", "up"},
