--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -117,6 +118,33 @@
     cr_assert(fixture.exchange(good).find("200") != std::string::npos, "it still serves");
 }
 
+// Posted tasks share one event of the loop, so they must neither overtake each other nor outlive a stop.
+Test(http, posted_tasks_run_in_order_and_not_after_a_stop)
+{
+    auto loop = EventLoop();
+    auto ran = std::vector<int>();
+    for (auto number = 0; number < 100; ++number) {
+        loop.post([&, number] {
+            ran.push_back(number);
+            if (number == 0) {
+                loop.post([&] { ran.push_back(100); });
+            }
+        });
+    }
+    loop.post([&] {
+        loop.post([&] {
+            ran.push_back(101);
+            loop.stop();
+        });
+    });
+    loop.post([&] { loop.post([&] { ran.push_back(102); }); });
+    loop.run();
+    cr_assert_eq(ran.size(), 102U);
+    cr_assert(std::ranges::is_sorted(ran));
+    loop.run(); // What the stop left runs when the loop goes on.
+    cr_assert_eq(ran.size(), 103U);
+}
+
 Test(http, a_slow_sender_is_disconnected)
 {
     auto       fixture = Fixture();
