--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -24,8 +24,8 @@
 // microseconds per job, and a node with 0.25 of a core should spend less than a tenth of its time on
 // rounds.
 constexpr std::int64_t kJobsPerIntervalMs = 10;
-constexpr std::int64_t kStepsPerRefillMs =
-    100; // Refills are 1 ms further apart per this many steps.
+// Refills are 1 ms further apart per this many steps that wait.
+constexpr std::int64_t kStepsPerRefillMs = 100;
 
 // Returns the estimated length of the critical path in ms: of the whole job, or of its steps that
 // aren't done yet if `progress` is given.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -326,8 +326,8 @@
     CapacityIndex                                capacityIndex_;    // Empty between rounds.
     int                                          explanations_ = 0; // Logged in this round.
     std::vector<ReadyStep>                       ready_; // As the last round ranked them.
-    bool                                         needsRefill_ = false;
-    TimeMs                                       refillAt_ = 0; // Earliest time of a refill.
+    bool                                         needsRefill_ = false; // Capacity has become free.
+    TimeMs                                       refillAt_ = 0;        // Earliest time of a refill.
     bool                                         isRefilling_ = false;
     std::int64_t                                 pendingRuns_ = 0;      // Those with isPending.
     std::int64_t                                 liveRuns_ = 0;         // On all workers.
@@ -353,8 +353,7 @@
     bool        areWorkersShort_ = false; // The last round left too little capacity for those.
     bool        wasOwnerLimited_ = false; // Tasks waited for the owner in the round before.
     double      startDelayMs_ = 0;        // From a placement to its confirmation, a moving average.
-    double      runOverheadMs_ =
-        0; // From a confirmation to the end that is read, beyond the estimate. The same.
+    double      runOverheadMs_ = 0; // From there to the end that is read, beyond the estimate.
     std::set<std::string> reservedWorkers_; // Kept for unbounded tasks.
     // Progress to record: numbers of records, by job. The first record is written last, as that of an earlier
     // version may have rows of the others.
