Tests of SHORT share the jobs that they time, and the pool that waits for its owner

Two tests of the pool counted jobs on time with the same loop and constants, two of the planner set the same fleet up. The assertions are the same.

--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -136,6 +136,16 @@
     TimeMs                    now_ = kStartMs;
 };
 
+// All workers but the first `busy` are idle, while tasks for 1,000 machines wait for the pool's owner.
+auto waitForOwner(Fleet &fleet, std::size_t busy) -> void
+{
+    for (std::size_t number = 0; number < fleet.report().workers.size(); ++number) {
+        fleet.worker(number).runs = number < busy ? 1 : 0;
+        fleet.worker(number).cpu = number < busy ? 60'000 : 0;
+    }
+    fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
+}
+
 auto withoutMoves() -> PlannerSettings
 {
     auto settings = PlannerSettings{};
@@ -582,13 +592,8 @@
 // Guards against SHORT: machines left a pool whose backlog waited for its owner.
 Test(planner, a_backlog_that_waits_for_the_owner_keeps_machines_and_requests_none)
 {
-    constexpr auto kMachines = 100;
-    auto           fleet = Fleet(kMachines);
-    for (std::size_t number = 0; number < kMachines; ++number) {
-        fleet.worker(number).runs = number < 20 ? 1 : 0;
-        fleet.worker(number).cpu = number < 20 ? 60'000 : 0;
-    }
-    fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
+    auto fleet = Fleet(100);
+    waitForOwner(fleet, 20);
     fleet.run(3'000);
     cr_assert(fleet.moved.empty());
     fleet.report().ownerLimited = {};
@@ -601,13 +606,8 @@
 // Free machines serve tasks that lack workers rather than those that wait for their owner.
 Test(planner, a_pool_that_waits_for_its_owner_leaves_another_one_its_part)
 {
-    constexpr auto kMachines = 100;
-    auto           fleet = Fleet(kMachines);
-    for (std::size_t number = 0; number < kMachines; ++number) {
-        fleet.worker(number).runs = number < 20 ? 1 : 0;
-        fleet.worker(number).cpu = number < 20 ? 60'000 : 0;
-    }
-    fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
+    auto fleet = Fleet(100);
+    waitForOwner(fleet, 20);
     auto other = makeReport("q", 0, 0, 0);
     other.wanted = {64'000 * 50, 0, 0};
     fleet.runBeside(other, 30);
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -55,6 +55,31 @@
     return std::ssize(record.key) + std::ssize(record.value) + kRecordOverhead;
 }
 
+constexpr auto kTimedTaskMs = TimeMs{900};
+constexpr auto kObjectiveMs = TimeMs{600} + TimeMs{1'440}; // A fixed part and 1.6 times the work.
+
+// Jobs whose end is awaited, and how many have ended within kObjectiveMs.
+struct TimedJobs {
+    std::map<std::string, TimeMs> open; // When they were submitted, by id.
+    int                           ended = 0;
+    int                           onTime = 0;
+
+    auto submit(PoolWorld &world, JobSpec spec) -> void
+    {
+        open[spec.id] = world.now().steadyMs;
+        world.submit(std::move(spec));
+    }
+    auto collect(PoolWorld &world) -> void
+    {
+        std::erase_if(open, [&](const auto &item) {
+            const auto isDone = world.owner().jobState(item.first) == JobState::Completed;
+            ended += isDone ? 1 : 0;
+            onTime += isDone && world.now().steadyMs - item.second <= kObjectiveMs ? 1 : 0;
+            return isDone;
+        });
+    }
+};
+
 auto firstTask(const std::string &job) -> TaskRef
 {
     return {job, 0, 0, 0};
@@ -473,11 +498,8 @@
     constexpr auto kJobsPerStep = 2.4;
     constexpr auto kEarlyWorkers = 400;
     constexpr auto kJoinStep = 100;
-    constexpr auto kTaskMs = TimeMs{900};
-    constexpr auto kObjectiveMs =
-        TimeMs{600} + TimeMs{1'440}; // A fixed part and 1.6 times the work.
-    auto       world = PoolWorld(1, {}, 1'100);
-    const auto setDraining = [&](bool isDraining) {
+    auto           world = PoolWorld(1, {}, 1'100);
+    const auto     setDraining = [&](bool isDraining) {
         world.changeView([&](FleetView &view) {
             auto number = 0;
             for (auto &[id, report] : view.workers) {
@@ -487,26 +509,20 @@
     };
     setDraining(true);
     world.run(500);
-    auto open = std::map<std::string, TimeMs>();
+    auto jobs = TimedJobs();
     auto submitted = 0;
-    auto late = 0;
     for (auto step = 0; step < 700; ++step) {
         if (step == kJoinStep) {
             setDraining(false);
         }
         while (submitted < kJobs && submitted < kJobsPerStep * (step + 1)) {
             const auto id = fmt::format("job{}", submitted++);
-            open[id] = world.now().steadyMs;
-            world.submit(makeJob(id, {makeStep(12, kTaskMs)}));
+            jobs.submit(world, makeJob(id, {makeStep(12, kTimedTaskMs)}));
         }
         world.run(10);
-        std::erase_if(open, [&](const auto &item) {
-            const auto isDone = world.owner().jobState(item.first) == JobState::Completed;
-            late += isDone && world.now().steadyMs - item.second > kObjectiveMs ? 1 : 0;
-            return isDone;
-        });
+        jobs.collect(world);
     }
-    cr_assert_eq(late + std::ssize(open), 0);
+    cr_assert_eq(jobs.ended - jobs.onTime + std::ssize(jobs.open), 0);
     expectNoViolations(world);
 }
 
@@ -532,9 +548,7 @@
 // Guards against SHORT: while the owner binds, jobs that start at the last moment are all late.
 Test(pool, an_overloaded_owner_serves_most_of_what_it_can_start_on_time)
 {
-    constexpr auto kTaskMs = TimeMs{900};
-    constexpr auto kObjectiveMs = TimeMs{600} + TimeMs{1'440};
-    auto           world = PoolWorld(1, {}, 100);
+    auto world = PoolWorld(1, {}, 100);
     world.changeView([](FleetView &view) {
         auto rules = view.catalog.rules();
         rules.queues.front().objectiveMs = 600;
@@ -544,23 +558,15 @@
     world.settings().maxUnconfirmedRuns = 2;
     world.takeOver();
     world.run(500);
-    auto open = std::map<std::string, TimeMs>();
-    auto started = 0;
-    auto onTime = 0;
+    auto jobs = TimedJobs();
     for (auto step = 0; step < 1'600; ++step) {
         const auto id = fmt::format("job{}", step);
-        open[id] = world.now().steadyMs;
-        world.submit(makeJob(id, {makeStep(1, kTaskMs)}));
+        jobs.submit(world, makeJob(id, {makeStep(1, kTimedTaskMs)}));
         world.run(10);
-        std::erase_if(open, [&](const auto &item) {
-            const auto isDone = world.owner().jobState(item.first) == JobState::Completed;
-            started += isDone ? 1 : 0;
-            onTime += isDone && world.now().steadyMs - item.second <= kObjectiveMs ? 1 : 0;
-            return isDone;
-        });
+        jobs.collect(world);
     }
-    cr_assert_leq(started, 1'200); // Otherwise this is no overload.
-    cr_assert_geq(2 * onTime, started);
+    cr_assert_leq(jobs.ended, 1'200); // Otherwise this is no overload.
+    cr_assert_geq(2 * jobs.onTime, jobs.ended);
     expectNoViolations(world);
 }
 
