--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -119,8 +119,7 @@
     }
     const auto &occurrence = found->second;
     summary.ready.clear();
-    summary.isDone = isOccurrenceDone(occurrence);
-    if (summary.isDone) {
+    if (isOccurrenceDone(occurrence)) {
         return summary;
     }
     summary.chainMs = longestChain(spec, nullptr);
@@ -153,7 +152,6 @@
     nextDueMs_ = 0;
     for (const auto &[id, entry] : active_) {
         const auto &job = entry->job;
-        const auto *queue = static_cast<const QueueRule *>(nullptr);
         for (std::int64_t number = 0; number < occurrenceCount(job.spec); ++number) {
             const auto due = occurrenceDueMs(job.spec, number);
             if (due > now.wallMs) {
@@ -169,8 +167,7 @@
             step.occurrence = number;
             step.dueMs = std::max(job.acceptedAtMs, due);
             step.remaining = summary.remaining;
-            queue = queue == nullptr ? queueOf(*entry) : queue;
-            if (queue != nullptr) {
+            if (const auto *queue = queueOf(*entry)) {
                 step.priority = queue->priority;
                 step.timeliness =
                     timelinessOf(*queue, summary, timeLeft(summary), step.dueMs, now.wallMs);
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -119,7 +119,6 @@
 // What placement needs of an occurrence. Worked out anew after its progress has changed.
 struct OccurrenceSummary {
     bool         isCurrent = false;
-    bool         isDone = false;
     TimeMs       chainMs = 0;        // Estimated critical path of the job, see longestChain().
     TimeMs       chainLeftMs = 0;    // The same of the steps that aren't done.
     std::int64_t remaining = 0;      // See remainingWork().
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -46,7 +46,7 @@
             worker.peer = {id, report.address};
         }
         worker.isListed = true;
-        worker.isCordoned = !cordoned_.empty() && cordoned_.contains(id);
+        worker.isCordoned = cordoned_.contains(id);
         if (isNew) {
             worker.nextHoldAt = now.steadyMs;
         }
