--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -169,14 +169,20 @@
         self.token = self.lease_until = self.last_row = 0
         self.running, self.ended_run, self.finished = {}, {}, []
         self.changed = asyncio.Event()
+        self.is_up = True
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
 
     async def start(self):
-        _, self.port = await serve(self.handle)
-        self.deployment.spawn(self.beat())
-        self.deployment.spawn(self.watch())
+        self.server, self.port = await serve(self.handle)
+        self.loops = [self.deployment.spawn(self.beat()), self.deployment.spawn(self.watch())]
+
+    def stop_serving(self):
+        """The runner is gone: its calls aren't answered, and it sends no more pings."""
+        self.server.close()
+        for loop in self.loops:
+            loop.cancel()
 
     async def beat(self):
         sequence = 0
@@ -209,6 +215,8 @@
         self.changed = asyncio.Event()
 
     async def handle(self, request):
+        if not self.is_up:
+            raise NoAnswer()
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         body = request.json()
@@ -249,6 +257,8 @@
         if body.get("waitMs", 0) and not self.finished:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), min(body["waitMs"], 2_000) / 1000)
+        if not self.is_up:
+            raise NoAnswer()
         return 200, {"clockMs": self.clock(), "born": self.born, "finished": self.finished[:500],
                      "running": [[task, run["run"], "", 100, 0] for task, run in self.running.items()]}
 
@@ -256,11 +266,12 @@
 class Deployment:
     """Nodes, workers and clients. `on_start` and `on_end` are called for each run."""
 
-    def __init__(self, case, manifest, nodes=3, workers=(("pool-a", 4),), cpu=8_000):
+    def __init__(self, case, manifest, nodes=3, workers=(("pool-a", 4),), cpu=8_000, worker_class=None):
         self.case, self.manifest = pathlib.Path(case), manifest
         self.record = Record(self.case / "record.txt")
         self.platform = Platform(self.record)
         self.node_count, self.worker_plan, self.cpu = nodes, workers, cpu
+        self.worker_class = worker_class or Worker
         self.nodes, self.workers, self.tasks = [], [], set()
         self.on_start = lambda worker, task, run: None
         self.on_end = lambda worker, task, run, how: None
@@ -278,7 +289,7 @@
         for service, count in self.worker_plan:
             for _ in range(count):
                 number += 1
-                self.workers.append(Worker(self, number, service, f"zone-{'abc'[number % 3]}", self.cpu))
+                self.workers.append(self.worker_class(self, number, service, f"zone-{'abc'[number % 3]}", self.cpu))
                 await self.workers[-1].start()
         ports = free_ports(4 * self.node_count)
         for index in range(self.node_count):
