--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -247,7 +247,8 @@
         if body["deadlineMs"] < self.clock():
             return 409, answer | {"reason": "late"}
         spec = json.loads(body["spec"])
-        self.running[task] = {"run": number, "ends": self.clock() + spec["ms"], "how": spec.get("how", "done")}
+        self.running[task] = {"run": number, "ends": self.clock() + spec["ms"], "how": spec.get("how", "done"),
+                              "cpu": spec.get("cpu", 1_000)}
         self.record.add(f"{self.id} ({self.service}) starts {task} run {number}, fence {body['fencingToken']}")
         self.deployment.on_start(self, task, number)
         return 200, answer
@@ -363,8 +364,8 @@
     return {"count": count, "cpu": 1_000, "memMb": 10, "estimateMs": milliseconds, **fields}
 
 
-def task_spec(milliseconds, how="done"):
-    return json.dumps({"ms": milliseconds, "how": how})
+def task_spec(milliseconds, how="done", cpu=1_000):
+    return json.dumps({"ms": milliseconds, "how": how, "cpu": cpu})
 
 
 def run(case, deployment, scenario):
