--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""LOST: what a tenant's backlog asks for in a full service is held back from its other services."""
+"""QUOTA: the report of a former owner that has been frozen takes the place of the present owner's."""
 
 import asyncio
 import pathlib
@@ -7,47 +7,56 @@
 CASE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "support-2"))
 
-from deployment import Deployment, is_troubled, route, run, step, task_spec  # noqa: E402
+import signal  # noqa: E402
 
-MAXIMUM = 80_000  # Thousandths of a core.
-WORKERS, WORKER_CPU = 4, 8_000  # Of each service.
-FULL, EMPTY = "pool-a", "pool-b"
-FINISH_S, IDLE_S = 14, 3
-BACKLOG = 400  # Tasks of 1 core and 3 s: 38 s of work for the full service.
-CPU = 6_000  # Of the task for the empty service.
-MANIFEST = {"version": 1, "routes": [route(pool, pool) for pool in (FULL, EMPTY)],
-            "services": [{"name": pool, "admissionControl": False} for pool in (FULL, EMPTY)],
+from deployment import Deployment, is_troubled, newest_owner, route, run, step, task_spec  # noqa: E402
+
+MAXIMUM, OVERAGE, TASK = 16_000, 0.1, 1_000  # Thousandths of a core.
+FREEZE_S = 4.0
+POOLS = ["pool-d", "pool-e"]
+MANIFEST = {"version": 1, "routes": [route(pool, pool) for pool in POOLS],
+            "services": [{"name": pool, "admissionControl": False} for pool in POOLS],
             "tenants": [{"name": "team", "apiKeys": ["key-1"], "weight": 1, "maximum": {"cpu": MAXIMUM}}], "limits": {}}
+ROUNDS_UNTIL_S = 85
 
 
-def used(deployment, service=None):
-    return sum(run["cpu"] for worker in deployment.workers if service in (None, worker.service)
-               for run in worker.running.values())
+async def scenario(deployment):
+    running, broken, peak = set(), [], [0]
 
+    def on_start(worker, task, _run):
+        running.add((worker.id, task))
+        used = len(running) * TASK
+        peak[0] = max(peak[0], used)
+        if used > MAXIMUM * (1 + OVERAGE) + TASK:
+            broken.append(f"QUOTA {task}: its start brings the tenant to {used} of {MAXIMUM} thousandths of a core")
 
-async def scenario(deployment):
+    deployment.on_start = on_start
+    deployment.on_end = lambda worker, task, _run, how: running.discard((worker.id, task))
     await asyncio.sleep(3)
-    for pool in (FULL, EMPTY):
+    for pool in POOLS:
         await deployment.submit(f"/{pool}/", [step(1, 100)], spec=task_spec(100))
-    if is_troubled():
-        for _ in range(4):
-            await deployment.submit(f"/{FULL}/", [step(BACKLOG // 4, 3_000)], spec=task_spec(3_000))
-    await asyncio.sleep(1)
-    job = await deployment.submit(f"/{EMPTY}/", [step(1, 1_000, cpu=CPU)], spec=task_spec(1_000, cpu=CPU))
-    deployment.record.add("end of the traffic")
-    await asyncio.sleep(FINISH_S)
-    if await deployment.state(f"/{EMPTY}/", job) == "completed":
-        return []
-    most = 0
-    for _ in range(int(IDLE_S / 0.1)):
-        await asyncio.sleep(0.1)
-        most = max(most, used(deployment))
-        if used(deployment, EMPTY) > 0 or 2 * most >= MAXIMUM:
-            return []
-    state = await deployment.state(f"/{EMPTY}/", job)
-    deployment.record.add(f"the tenant's highest use in that time is {most} of {MAXIMUM}")
-    return [f"LOST {job}: {state} {FINISH_S} s after the traffic, nothing of it runs for {IDLE_S} s, its service is empty, and "
-            f"its tenant uses {most} of {MAXIMUM} thousandths of a core"]
-
-
-run(CASE, Deployment(CASE, MANIFEST, workers=[(FULL, WORKERS), (EMPTY, WORKERS)], cpu=WORKER_CPU), scenario)
+    while deployment.record.now() < ROUNDS_UNTIL_S and not broken:
+        await asyncio.sleep(1)
+        coordinator = newest_owner(deployment, "coordinator.held")
+        owners = {pool: newest_owner(deployment, "pool.owned", pool) for pool in POOLS}
+        frozen = next(node for node in reversed(deployment.nodes) if node is not coordinator and node in owners.values())
+        first = next(pool for pool in reversed(POOLS) if owners[pool] is frozen)
+        second = next(pool for pool in POOLS if pool != first)
+        live = [node for node in deployment.nodes if node is not frozen]
+        deployment.record.add(f"{coordinator.name} is the coordinator, {frozen.name} owns {first}")
+        if is_troubled():
+            frozen.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S - 1.1)
+        # The first queue asks for most of the tenant's maximum, then the second one for as much.
+        await deployment.submit(f"/{first}/", [step(14, 4_000)], nodes=live, spec=task_spec(4_000))
+        await asyncio.sleep(0.5)
+        await deployment.submit(f"/{second}/", [step(14, 4_000)], nodes=live, spec=task_spec(4_000))
+        await asyncio.sleep(0.5)
+        if is_troubled():
+            frozen.send_signal(signal.SIGCONT)
+        await asyncio.sleep(8)
+    deployment.record.add(f"the tenant's highest use was {peak[0]}")
+    return broken
+
+
+run(CASE, Deployment(CASE, MANIFEST, nodes=4, workers=[(pool, 2) for pool in POOLS]), scenario)
