Add review case 7: a task runs twice after its worker has restarted and its owner has changed

Cause: on the first answer of a worker's new incarnation its lease is set to the longest one, and that end is sent. An owner that takes over without a handover record counts on the usual lease, 4 s less.

The case restarts an idle worker, kills the owner of its first task, and cuts the worker's zone off for 6.2 s. The task is started again while its first run goes on (TWICE).

--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -165,11 +165,16 @@
     def __init__(self, deployment, number, service, zone, cpu):
         self.deployment, self.record = deployment, deployment.record
         self.id, self.service, self.zone, self.cpu = f"i-{number:04x}", service, zone, cpu
+        self.labels = ["a", "r1-1"]
+        self.is_up, self.is_cut = True, False
+        self.reset()
+
+    def reset(self):
+        """Begins a life that knows nothing of an earlier one."""
         self.started, self.born = time.monotonic(), int(time.time() * 1000)
         self.token = self.lease_until = self.last_row = 0
         self.running, self.ended_run, self.finished = {}, {}, []
         self.changed = asyncio.Event()
-        self.is_up = True
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -187,11 +192,14 @@
     async def beat(self):
         sequence = 0
         while True:
+            if self.is_cut:
+                await asyncio.sleep(0.1)
+                continue
             sequence += 1
             self.deployment.platform.store.put("keyed.servers", self.id, {
                 "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "ready", "coldRemainingMs": 0, "seq": sequence, "born": self.born, "machine": f"m-{self.id}",
-                "capacity": {"cpu": self.cpu, "memMb": 65_536, "gpu": 0}, "labels": ["a", "r1-1"]})
+                "capacity": {"cpu": self.cpu, "memMb": 65_536, "gpu": 0}, "labels": self.labels})
             await asyncio.sleep(HEARTBEAT_S)
 
     async def watch(self):
