--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -360,7 +360,7 @@
     """Returns the node that last logged that it owns the pool, or that it is the coordinator."""
     found = [(line["token"], node.name, node) for node in deployment.nodes for line in node.log_events(event)
              if pool is None or line.get("pool") == pool]
-    return max(found)[2] if found else None
+    return max(found, key=lambda one: one[:2])[2] if found else None
 
 
 def route(name, service, **fields):
