--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,11 +5,11 @@
 import sys
 
 CASE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "support-2"))
+sys.path.insert(0, str(CASE.parent))
 
 import signal  # noqa: E402
 
-from deployment import Deployment, is_troubled, newest_owner, route, run, step, task_spec  # noqa: E402
+from deployment_2 import Deployment, is_troubled, newest_owner, route, run, step, task_spec  # noqa: E402
 
 MAXIMUM, OVERAGE, TASK = 16_000, 0.1, 1_000  # Thousandths of a core.
 FREEZE_S = 4.0
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,9 +6,9 @@
 import sys
 
 CASE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "support-2"))
+sys.path.insert(0, str(CASE.parent))
 
-from deployment import Deployment, Worker, is_troubled, newest_owner, route, run, step, task_spec  # noqa: E402
+from deployment_2 import Deployment, Worker, is_troubled, newest_owner, route, run, step, task_spec  # noqa: E402
 from emulator.web import NoAnswer  # noqa: E402
 
 POOL = "pool-d"
--- a/review/support-2/deployment.py
+++ b/review/deployment_2.py
@@ -17,7 +17,7 @@
 import time
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
 from emulator.store import Store, split_records  # noqa: E402
