Leases: never send more than the usual one, and count with the longest after a restart

What callers saw: a task ran twice. Its worker had restarted under its id while idle, its owner was killed, and its zone was cut off. Cause: at the first answer of a new incarnation the owner counts with the worker's maximum (10 s), as orders on the clock of before may have given that. The same field was sent as the next deadline, so that the worker got the longest lease, while the next owner counts on the usual one (6 s). Change: the end that is sent and the latest end that a lease may have are two fields; what is sent is never longer than the usual lease. A start isn't repeated to a silent worker.

--- a/src/pool/leases.cpp
+++ b/src/pool/leases.cpp
@@ -10,6 +10,17 @@
 constexpr TimeMs kClockSlackMs = 300; // Margin for the delay of a clock reading.
 // Replies on different connections may overtake each other by the time limit of a call.
 constexpr TimeMs kMaxClockStepMs = 1'000;
+constexpr TimeMs kLateOrderMs = 12'000; // An order without an answer may be carried out that late.
+// An owner may still take a worker for its earlier incarnation that long: until a hold that waits has failed.
+constexpr TimeMs kUnnoticedRestartMs = 3'000;
+// Orders on the clock of an earlier incarnation may reach a worker for that long after its start.
+constexpr TimeMs kLongestReachMs = kUnnoticedRestartMs + kLateOrderMs;
+
+// Returns the longest time on our clock that such a time on a worker's clock may take.
+auto withClockError(TimeMs workerMs) -> TimeMs
+{
+    return static_cast<TimeMs>(static_cast<double>(workerMs) * kClockError) + kClockSlackMs;
+}
 
 } // namespace
 
@@ -24,38 +35,58 @@
         return;
     }
     if (clockMs < worker.clockMs - kMaxClockStepMs) {
-        worker.leaseUntilMs = clockMs + settings_.maxLeaseMs;
+        worker.leaseUntilMs = clockMs + earlierLease(now, worker, clockMs);
+        worker.grantedUntilMs = clockMs;
     }
     worker.clockMs = clockMs;
     worker.clockAt = now.steadyMs;
 }
 
 // Returns how long everything on a worker may still run by leases sent before the first answer of its
-// incarnation. Those on the clock of an earlier incarnation end far in the future on this one's, so that
-// the worker cuts them to its maximum. Those of the previous owner end as its handover says.
-auto PoolScheduler::State::earlierLease(Moment now, const Worker &worker) const -> TimeMs
+// incarnation, which shows `clockMs`. Those on the clock of an earlier incarnation end far in the future on this
+// one's, so that the worker cuts them to its maximum; they may be late. Those of the previous owner on this clock
+// end as its handover says.
+auto PoolScheduler::State::earlierLease(Moment now, const Worker &worker, TimeMs clockMs) const
+    -> TimeMs
 {
     if (worker.startedAtMs != kNoStartedAt) {
-        return settings_.maxLeaseMs;
+        const auto sentAt =
+            std::max(worker.leaseSentAt, ownedSince_ + settings_.offlineExtensionMs);
+        const auto left = sentAt + kLateOrderMs + settings_.maxLeaseMs - now.steadyMs;
+        return std::clamp<TimeMs>(left, 0, settings_.maxLeaseMs);
     }
+    auto lease = settings_.leaseMs;
     if (previousHandover_) {
         const auto found = previousHandover_->expiresInMs.find(worker.peer.id);
         if (found != previousHandover_->expiresInMs.end()) {
             const auto left = ownedSince_ + found->second - now.steadyMs;
-            return std::clamp(left, settings_.leaseMs, settings_.maxLeaseMs);
+            lease = std::clamp(left, settings_.leaseMs, settings_.maxLeaseMs);
         }
     }
-    return settings_.leaseMs;
+    // The clock of an incarnation starts at 0.
+    const auto byEarlierIncarnation = kLongestReachMs + settings_.maxLeaseMs - clockMs;
+    return std::clamp(byEarlierIncarnation, lease, settings_.maxLeaseMs);
+}
+
+// Returns the longest lease that the previous owner may have sent to a worker that hasn't answered this one. The
+// worker's entry tells whether orders on the clock of an earlier incarnation may have reached it.
+auto PoolScheduler::State::previousOwnersLease(const Worker &worker) const -> TimeMs
+{
+    const auto startedAtMs = worker.report.startedAtMs;
+    const auto isRecent =
+        startedAtMs > 0 && ownedSinceWallMs_ - startedAtMs < kLongestReachMs + settings_.maxLeaseMs;
+    return withClockError(isRecent ? settings_.maxLeaseMs : settings_.leaseMs);
 }
 
 // Returns when the lease of a silent worker has expired for certain, on our steady clock.
 auto PoolScheduler::State::leaseExpiry(const Worker &worker) const -> TimeMs
 {
-    const auto lease =
-        static_cast<TimeMs>(static_cast<double>(settings_.leaseMs) * kClockError) + kClockSlackMs;
     if (!worker.hasAnsweredHold || worker.clockAt == 0) {
+        const auto lease = previousOwnersLease(worker);
         if (previousHandover_ && previousHandover_->expiresInMs.contains(worker.peer.id)) {
-            return ownedSince_ + previousHandover_->expiresInMs.at(worker.peer.id);
+            const auto left = previousHandover_->expiresInMs.at(worker.peer.id);
+            const auto isLonger = lease > withClockError(settings_.leaseMs);
+            return ownedSince_ + (isLonger ? std::max(left, lease) : left);
         }
         // The previous owner may have extended leases until its offline extension ended. But no owner
         // extends the lease of a worker whose entry it has seen removed, or without a fresh view.
@@ -67,18 +98,20 @@
         return std::min(byOwner, *missingSince + settings_.maxViewAgeMs + lease);
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
-    return worker.clockAt + static_cast<TimeMs>(static_cast<double>(left) * kClockError)
-        + kClockSlackMs;
+    return worker.clockAt + withClockError(left);
 }
 
-// Returns the lease end to send. The lease of a silent worker isn't extended, so that it expires.
+// Returns the lease end to send. Never more than the length of a lease, whatever the worker may have from others: the
+// next owner counts on that. The lease of a silent worker isn't extended, so that it expires.
 auto PoolScheduler::State::extendLease(Moment now, Worker &worker) -> TimeMs
 {
     if (worker.holdFailures == 0) {
-        const auto until = worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
-        worker.leaseUntilMs = std::max(worker.leaseUntilMs, until);
+        worker.grantedUntilMs =
+            worker.clockMs + (now.steadyMs - worker.clockAt) + settings_.leaseMs;
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, worker.grantedUntilMs);
     }
-    return worker.leaseUntilMs;
+    worker.leaseSentAt = now.steadyMs;
+    return worker.grantedUntilMs;
 }
 
 // Returns whether the incarnation that answered last still is the only one that an order can reach.
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -68,7 +68,9 @@
     std::int64_t recordedEnd = 0;            // Number of the last one in the journal. 0: none.
     TimeMs       clockMs = 0;                // The worker's clock, as last reported.
     TimeMs       clockAt = 0;                // When it was reported. 0: never.
-    TimeMs       leaseUntilMs = 0;           // Latest lease end sent, on the worker's clock.
+    TimeMs       leaseUntilMs = 0;           // Latest end that its lease may have, on its clock.
+    TimeMs       grantedUntilMs = 0;         // Lease end that this owner sent last, on its clock.
+    TimeMs       leaseSentAt = 0;            // When this owner sent it. 0: never.
     TimeMs       nextHoldAt = 0;             // Earliest time of the next hold.
     TimeMs       lastHeldAt = 0;             // Last answered hold.
     int          holdFailures = 0;           // In a row. Above 0 the worker counts as silent.
@@ -266,7 +268,8 @@
     auto        setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
     auto        extendLease(Moment now, Worker &worker) -> TimeMs;
     auto        leaseExpiry(const Worker &worker) const -> TimeMs;
-    auto        earlierLease(Moment now, const Worker &worker) const -> TimeMs;
+    auto        earlierLease(Moment now, const Worker &worker, TimeMs clockMs) const -> TimeMs;
+    auto        previousOwnersLease(const Worker &worker) const -> TimeMs;
     static auto hasJustAnswered(Moment now, const Worker &worker) -> bool;
 
     // Placement (placement.cpp)
@@ -315,8 +318,9 @@
     PoolIdentity                                 identity_;
     PoolSettings                                 settings_;
     const FleetView                             &view_;
-    TimeMs                                       termUntil_ = 0;  // See setTerm().
-    TimeMs                                       ownedSince_ = 0; // Time of restore().
+    TimeMs                                       termUntil_ = 0;        // See setTerm().
+    TimeMs                                       ownedSince_ = 0;       // Time of restore().
+    std::int64_t                                 ownedSinceWallMs_ = 0; // The same, wall clock.
     bool                                         isFenced_ = false;
     bool                                         needsSchedule_ = false;
     TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -380,7 +380,8 @@
     }
     setClock(now, worker, reply.clockMs);
     if (worker.startedAtMs != reply.startedAtMs) {
-        worker.leaseUntilMs = reply.clockMs + earlierLease(now, worker);
+        worker.leaseUntilMs = reply.clockMs + earlierLease(now, worker, reply.clockMs);
+        worker.grantedUntilMs = reply.clockMs;
         worker.startedAtMs = reply.startedAtMs;
         worker.seenEnd = 0;
         worker.recordedEnd = 0;
@@ -547,10 +548,11 @@
         auto &run = worker.runs.at(ref);
         if (run.isStopping) {
             sendStop(worker, ref, run);
-        } else if (maySendStarts(now) && mayStartOn(worker)) {
-            sendStart(now, worker, ref, run);
         } else if (!mayStartOn(worker)) {
             requestStop(now, worker, ref);
+        } else if (maySendStarts(now) && worker.holdFailures == 0) {
+            // A silent worker may have restarted, and a start carries a lease on the clock of before.
+            sendStart(now, worker, ref, run);
         }
     }
     for (const auto &ref : unsent) {
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -65,6 +65,7 @@
         worker.report.capacity = {4'000, 16'000, 0};
         worker.report.rack = fmt::format("r{}", number / 2);
         worker.startedAt = now_.steadyMs - 50'000;
+        worker.report.startedAtMs = startOf(worker);
         view_.workers[id] = worker.report;
     }
     takeOver();
@@ -158,6 +159,11 @@
     drain();
 }
 
+auto PoolWorld::startOf(const FakeWorker &worker) const -> std::int64_t
+{
+    return now_.wallMs - clockOf(worker);
+}
+
 auto PoolWorld::restart(const std::string &id, TimeMs downMs) -> void
 {
     auto &worker = workers_.at(id);
@@ -166,6 +172,11 @@
     runLater(downMs, [this, &worker] {
         worker.isUp = true;
         worker.startedAt = now_.steadyMs;
+        worker.report.startedAtMs = startOf(worker);
+        if (const auto entry = view_.workers.find(worker.report.id); entry != view_.workers.end()) {
+            entry->second.startedAtMs = worker.report.startedAtMs;
+            owner_->onViewChanged(now_);
+        }
         worker.token = 0;
         worker.leaseUntil = 0;
         worker.voided.clear();
@@ -402,7 +413,7 @@
 {
     auto reply = HoldReply{};
     reply.clockMs = clockOf(worker);
-    reply.startedAtMs = worker.startedAt + 1'000'000;
+    reply.startedAtMs = startOf(worker);
     if (order.token < worker.token) {
         reply.outcome = CallOutcome::Fenced;
         return reply;
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -107,7 +107,8 @@
     {
         return now_.steadyMs - worker.startedAt;
     }
-    auto forgetRuns(FakeWorker &worker) -> void; // As its process ends.
+    auto startOf(const FakeWorker &worker) const -> std::int64_t; // On the wall clock.
+    auto forgetRuns(FakeWorker &worker) -> void;                  // As its process ends.
     auto forgetEnds(FakeWorker &worker) -> void;
     auto finish(FakeWorker &worker, std::size_t index, RunEnd end) -> void;
     auto extendLease(FakeWorker &worker, TimeMs leaseUntil) -> void;
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -838,6 +838,62 @@
     expectNoViolations(world);
 }
 
+// Guards against the same where the restart lies far back: the first owner to notice it sent the longest lease that the
+// worker may have, and its successors counted on the usual one. Owners change as planned or not, once or twice.
+Test(pool, a_task_that_began_after_a_restart_runs_alone_under_later_owners)
+{
+    for (const auto isPlanned : {false, true}) {
+        for (const auto owners : {1, 2}) {
+            for (const auto cutAfterMs : {50, 700, 2'500}) {
+                auto world = PoolWorld(1, {}, 2);
+                addLabel(world, "w0");
+                world.run(4'000);
+                world.restart("w0");
+                world.run(30'000);
+                world.submit(makeLabelledJob());
+                world.run(500);
+                cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+                addLabel(world, "w1");
+                for (auto owner = 0; owner < owners; ++owner) {
+                    isPlanned ? world.startHandover() : world.takeOver();
+                    world.run(50);
+                }
+                world.run(cutAfterMs);
+                world.isolate("w0");
+                world.run(world.settings().maxLeaseMs - 1'000);
+                cr_assert_eq(world.countStarts(firstTask("a")), 2,
+                             "waits for the longest lease: planned %d, owners %d, cut after %d ms",
+                             isPlanned, owners, cutAfterMs);
+                world.run(6'000);
+                expectNoViolations(world);
+            }
+        }
+    }
+}
+
+// Guards against the same where the new owner never reaches the worker, and learns of its restart from its entry.
+Test(pool, a_worker_that_restarted_and_never_answers_the_next_owner_runs_its_tasks_alone)
+{
+    for (const auto isPlanned : {false, true}) {
+        auto world = PoolWorld(1, {}, 2);
+        addLabel(world, "w0");
+        world.run(4'000);
+        world.submit(makeJob("short", {makeStep(8, 200)}));
+        world.run(300);
+        world.restart("w0", 10);
+        world.run(20);
+        world.submit(makeLabelledJob());
+        world.run(30);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+        addLabel(world, "w1");
+        world.isolate("w0");
+        isPlanned ? world.startHandover() : world.takeOver();
+        world.run(15'000);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+        expectNoViolations(world);
+    }
+}
+
 // Guards against work that waits for the lease of a worker that never got it: a start that was sent to a
 // worker that had ended while it was idle could only be taken back by a stop, which nobody answered.
 Test(pool, nothing_is_started_on_an_idle_worker_that_doesnt_answer)
@@ -1067,6 +1123,11 @@
     playSeeds({.lostAppends = 5, .takeovers = 1, .restarts = 2, .cuts = 2});
 }
 
+Test(pool_schedules, workers_restart_and_are_cut_off_while_answers_are_lost_and_owners_change)
+{
+    playSeeds({.lostAnswers = 5, .lostAppends = 5, .takeovers = 3, .restarts = 2, .cuts = 3});
+}
+
 // Guards against starts after an acknowledged cancelling.
 Test(pool_schedules, cancelled_jobs_dont_start_while_owners_change)
 {
