Coordinator: count reports by their owner's token and their order

What callers saw: a tenant ran 28 of 16 cores. The owner of a pool was frozen for 4 s and replaced; when it woke, it reported on the pool once more, and what it reported took the place of the present owner's report. Cause: QuotaLedger::grant() took any report for what the pool holds; so did the planner of machines for its load. Change: ReportOrder decides whose report counts, for both: by the owner's token, then by the order of its reports. An owner out of its term, or that hands over, sends no report. Ruled out: lost answers (a grant counts until the pool reports less), and a change of the coordinator (it stayed).

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -6,6 +6,7 @@
 //
 // Index of this file
 // [SECTION] Reports and directions
+// [SECTION] Order of reports
 // [SECTION] Quota ledger
 // [SECTION] Demand forecast
 // [SECTION] Coordinator's record
@@ -52,10 +53,14 @@
     // unbounded ones.
     ResourceSet               wanted;
     ResourceSet               perWorker; // Largest cpu and memory of any worker. Zero: no workers.
-    ResourceSet wantedLate; // As `wanted`, by tasks of late jobs. Expired ones request nothing.
+    ResourceSet  wantedLate; // As `wanted`, by tasks of late jobs. Expired ones request nothing.
     // Needed by tasks, late ones too, that wait until the owner has caught up. They keep the pool's workers busy
     // then, and request no more of them.
-    ResourceSet ownerLimited;
+    ResourceSet  ownerLimited;
+    // Which reports count: see ReportOrder.
+    std::int64_t sequence = 0; // Increases with each report of this owner.
+    std::int64_t coordinator =
+        0; // Token of the last coordinator that directed this owner. 0: none.
 };
 
 struct TenantGrant {
@@ -69,6 +74,33 @@
     std::vector<std::string> cordoned; // Ids of all workers that get no new runs.
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Order of reports
+//-----------------------------------------------------------------------------
+
+// Decides which reports count for one coordinator. Reports may be late, overtake each other, or come from an owner
+// that doesn't know yet that it was replaced. What a report that counts says replaces all that its pool reported
+// before.
+class ReportOrder
+{
+public:
+    explicit ReportOrder(std::int64_t coordinator) : coordinator_(coordinator) { }
+
+    // Returns whether the report counts: it is of the newest owner known, and newer than those before. The first one
+    // of a pool counts only if its owner has had a direction of this coordinator, as it may otherwise be older than
+    // what a previous coordinator has granted since.
+    auto accept(const PoolReport &report) -> bool;
+
+private:
+    struct Last {
+        std::int64_t token = 0;
+        std::int64_t sequence = 0;
+    };
+
+    std::int64_t                coordinator_; // Its fencing token.
+    std::map<std::string, Last> last_;        // Last report that counted, by pool.
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Quota ledger
 //-----------------------------------------------------------------------------
@@ -80,6 +112,7 @@
 public:
     // Commands.
     auto setPools(std::set<std::string> pools) -> void; // All pools that have queues.
+    // Only for reports that count: see ReportOrder.
     auto grant(const PoolReport &report, const Catalog &catalog) -> std::vector<TenantGrant>;
 
     // Queries.
--- a/src/coordinator/quota.cpp
+++ b/src/coordinator/quota.cpp
@@ -25,6 +25,25 @@
 
 } // namespace
 
+//-----------------------------------------------------------------------------
+// [SECTION] Order of reports
+//-----------------------------------------------------------------------------
+
+auto ReportOrder::accept(const PoolReport &report) -> bool
+{
+    const auto found = last_.find(report.pool);
+    if (found == last_.end() && report.coordinator != coordinator_) {
+        return false;
+    }
+    auto      &last = last_[report.pool];
+    const auto isNewer =
+        report.token == last.token ? report.sequence > last.sequence : report.token > last.token;
+    if (isNewer) {
+        last = {report.token, report.sequence};
+    }
+    return isNewer;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Quota ledger
 //-----------------------------------------------------------------------------
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -38,8 +38,8 @@
     if (tenure_ != nullptr && tenure_->token == found->second) {
         return;
     }
-    tenure_ = std::make_shared<Tenure>(
-        Tenure{found->second, QuotaLedger(), MachinePlanner(settings_.planner)});
+    tenure_ = std::make_shared<Tenure>(Tenure{found->second, ReportOrder(found->second),
+                                              QuotaLedger(), MachinePlanner(settings_.planner)});
     fence(tenure_);
 }
 
@@ -116,9 +116,20 @@
     const auto &catalog = directory_.view().catalog;
     const auto  pools = catalog.activePools();
     tenure_->ledger.setPools({pools.begin(), pools.end()});
-    tenure_->planner.onReport(bootMs(), report);
-    return PoolDirection{tenure_->token, tenure_->ledger.grant(report, catalog),
-                         tenure_->planner.cordonedWorkers(bootMs(), report.pool)};
+    auto direction = PoolDirection{tenure_->token, {}, {}};
+    if (tenure_->order.accept(report)) {
+        tenure_->planner.onReport(bootMs(), report);
+        direction.grants = tenure_->ledger.grant(report, catalog);
+    } else {
+        logEvent(LogLevel::Info, "report.ignored",
+                 {{"pool", report.pool},
+                  {"token", report.token},
+                  {"sequence", report.sequence},
+                  {"directed_by", report.coordinator},
+                  {"coordinator", tenure_->token}});
+    }
+    direction.cordoned = tenure_->planner.cordonedWorkers(bootMs(), report.pool);
+    return direction;
 }
 
 auto CoordinatorTask::tick() -> void
@@ -245,17 +256,18 @@
 auto ReporterTask::report() -> void
 {
     for (auto &[name, pool] : pools_.pools()) {
-        if (pool->isReady() && !pool->isDormant() && !pool->isFenced()
+        if (pool->isReady() && pool->isInTerm() && !pool->isDormant() && !pool->isFenced()
             && !pendingReports_.contains(name)) {
             reportPool(name, *pool);
         }
     }
 }
 
-// Sends one report of a pool at a time, so that each has the allowances that the last reply set.
+// Sends one report of a pool at a time, so that each has the allowances that the last reply set. An owner out of its
+// term may have been replaced, and sends none.
 auto ReporterTask::reportPool(const std::string &name, PoolTask &pool) -> void
 {
-    const auto report = pool.scheduler()->report();
+    const auto report = pool.makeReport();
     if (bootMs() >= nextStatusAt_[name]) {
         nextStatusAt_[name] = bootMs() + kStatusIntervalMs;
         logStatus(report, pool);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -234,7 +234,9 @@
 
     auto isHandoverDone() const -> bool { return !scheduler_ || scheduler_->isHandoverDone(); }
     auto isReady() const -> bool { return scheduler_ != nullptr; }
-    auto isDormant() const -> bool; // No queue leads to the pool, and nothing is left to do.
+    auto isInTerm() const -> bool { return !isLeaving_ && bootMs() < termUntil_; }
+    auto makeReport() -> PoolReport; // The next one to the coordinator. Not before isReady().
+    auto isDormant() const -> bool;  // No queue leads to the pool, and nothing is left to do.
     auto isFenced() const -> bool { return isFenced_ || (scheduler_ && scheduler_->isFenced()); }
     auto scheduler() -> PoolScheduler * { return scheduler_.get(); }
     auto identity() const -> const PoolIdentity & { return identity_; }
@@ -284,6 +286,8 @@
     bool                                   isLeaving_ = false; // A handover has begun.
     std::unique_ptr<PoolScheduler>         scheduler_;         // Null: the journal isn't read yet.
     std::int64_t                           lastHandle_ = 0;    // Last one given to a call.
+    std::int64_t                           lastReport_ = 0;    // Number of the last report.
+    std::int64_t                           coordinator_ = 0;   // See PoolReport::coordinator.
     std::map<std::int64_t, PoolAnswerSlot> pendingCalls_; // Calls without an answer, by handle.
     std::map<std::string, Adoption>        adoptions_;    // By queue.
     bool                                   isRunning_ = false; // run() is active.
@@ -410,13 +414,15 @@
     CoordinatorTask(EventLoop &loop, Services services, const NodeSettings &settings,
                     DirectoryTask &directory, OwnershipTask &ownership);
 
-    // Returns nothing if this node isn't the coordinator, is out of its term, or has no rules yet.
+    // Returns nothing if this node isn't the coordinator, is out of its term, or has no rules yet. A report that
+    // doesn't count gets no grants.
     auto handle(const PoolReport &report) -> std::optional<PoolDirection>;
 
 private:
     // State of one period as the coordinator, under one fencing token.
     struct Tenure {
         std::int64_t   token = 0;
+        ReportOrder    order;
         QuotaLedger    ledger;
         MachinePlanner planner;
         bool           isRecordRead = false; // The previous coordinator's record was read.
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -154,8 +154,17 @@
     }
 }
 
+auto PoolTask::makeReport() -> PoolReport
+{
+    auto report = scheduler_->report();
+    report.sequence = ++lastReport_;
+    report.coordinator = coordinator_;
+    return report;
+}
+
 auto PoolTask::applyDirection(const PoolDirection &direction) -> void
 {
+    coordinator_ = direction.token;
     if (scheduler_) {
         scheduler_->applyDirection(readMoment(), direction);
         run();
@@ -188,7 +197,7 @@
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "the pool is being taken over", 0});
         return;
     }
-    if (bootMs() >= termUntil_) {
+    if (!isInTerm()) {
         slot({PoolStatus::NotOwner, JobState::Queued, 0, "the owner is out of its term", 0});
         return;
     }
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -146,6 +146,42 @@
     fleet.report().ownerLimited = {64'000 * 1'000, 0, 0};
 }
 
+// A coordinator's grants, as CoordinatorTask::handle() makes them.
+struct Granter {
+    explicit Granter(std::int64_t coordinator) : token(coordinator), order(coordinator)
+    {
+        ledger.setPools({"p", "q"});
+    }
+
+    auto handle(const PoolReport &report, const Catalog &catalog) -> std::vector<TenantGrant>
+    {
+        return order.accept(report) ? ledger.grant(report, catalog) : std::vector<TenantGrant>();
+    }
+
+    std::int64_t token = 0;
+    ReportOrder  order;
+    QuotaLedger  ledger;
+};
+
+// The owner of a pool, and what it has of the tenant's maximum.
+struct FakeOwner {
+    std::int64_t token = 1;
+    std::int64_t sequence = 0;
+    std::int64_t coordinator = 0;
+    std::int64_t allowance = 0;
+    std::int64_t used = 0;
+    std::int64_t awaited = 0; // Sequence of the report that waits for an answer. 0: none.
+
+    auto makeReport(const std::string &pool, std::int64_t wanted) -> PoolReport
+    {
+        auto report = ::makeReport(pool, allowance, used, wanted);
+        report.token = token;
+        report.sequence = ++sequence;
+        report.coordinator = coordinator;
+        return report;
+    }
+};
+
 auto withoutMoves() -> PlannerSettings
 {
     auto settings = PlannerSettings{};
@@ -219,6 +255,112 @@
     }
 }
 
+// Guards against a maximum that is granted twice: the report of an owner that was frozen and replaced took the place of
+// the present owner's.
+Test(quota, the_report_of_a_former_owner_doesnt_count)
+{
+    const auto catalog = makeCatalog(16'000);
+    auto       granter = Granter(3);
+    auto       former = FakeOwner{.coordinator = 3};
+    auto       present = FakeOwner{.token = 2};
+    auto       other = FakeOwner{.coordinator = 3};
+    granter.handle(former.makeReport("p", 0), catalog);
+    granter.handle(other.makeReport("q", 0), catalog);
+    const auto late = former.makeReport("p", 0);
+    present.allowance =
+        granter.handle(present.makeReport("p", 14'000), catalog).front().allowance.cpu;
+    cr_assert_geq(present.allowance, 14'000, "a new owner's first report counts at once");
+    present.used = 14'000;
+    cr_assert(granter.handle(late, catalog).empty());
+    cr_assert_leq(granter.handle(other.makeReport("q", 14'000), catalog).front().allowance.cpu,
+                  2'000);
+}
+
+// Guards against the same by a report of the present owner that was late on its way, and by one that reaches another
+// coordinator first. An answer that is lost holds nothing back for longer than until the next report.
+Test(quota, a_late_report_doesnt_count)
+{
+    const auto catalog = makeCatalog(16'000);
+    auto       granter = Granter(3);
+    auto       owner = FakeOwner{.coordinator = 3};
+    auto       other = FakeOwner{.coordinator = 3};
+    granter.handle(other.makeReport("q", 0), catalog);
+    const auto late = owner.makeReport("p", 0);
+    owner.allowance = granter.handle(owner.makeReport("p", 14'000), catalog).front().allowance.cpu;
+    owner.used = 14'000;
+    cr_assert(granter.handle(late, catalog).empty());
+    cr_assert_leq(granter.handle(other.makeReport("q", 14'000), catalog).front().allowance.cpu,
+                  2'000);
+    auto next = Granter(4);
+    cr_assert(next.handle(late, catalog).empty());
+    cr_assert(next.handle(other.makeReport("q", 14'000), catalog).empty());
+    other.coordinator = 4;
+    next.handle(other.makeReport("q", 14'000), catalog);
+    cr_assert_not(next.ledger.isComplete());
+    cr_assert(next.handle(owner.makeReport("p", 0), catalog).empty()); // The answer is lost.
+    cr_assert(next.handle(owner.makeReport("p", 0), catalog).empty());
+    owner.coordinator = 4;
+    next.handle(owner.makeReport("p", 0), catalog);
+    cr_assert(next.ledger.isComplete());
+    cr_assert_leq(next.handle(other.makeReport("q", 14'000), catalog).front().allowance.cpu, 2'000);
+}
+
+// Owners and coordinators change, reports are late or overtake each other, answers are lost. A replaced owner makes no
+// further reports, but those on their way may arrive at any time.
+Test(quota, the_sum_never_exceeds_the_maximum_while_reports_are_late)
+{
+    constexpr std::int64_t kMaximum = 10'000;
+    const auto             catalog = makeCatalog(kMaximum);
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        auto         random = pcg32(seed);
+        auto         granter = Granter(1);
+        auto         owners = std::map<std::string, FakeOwner>{{"p", {}}, {"q", {}}};
+        auto         onTheWay = std::vector<PoolReport>();
+        std::int64_t most = 0;
+        for (auto round = 0; round < 1'000; ++round) {
+            const auto *pool = random(2) == 0 ? "p" : "q";
+            auto       &owner = owners.at(pool);
+            if (random(80) == 0) {
+                granter = Granter(granter.token + 1);
+            }
+            if (random(80) == 0) {
+                owner = {.token = owner.token + 1, .used = owner.used};
+            }
+            if (owner.awaited == 0 || random(10) == 0) { // The answer took too long.
+                onTheWay.push_back(
+                    owner.makeReport(pool, static_cast<std::int64_t>(random(12'000))));
+                owner.awaited = owner.sequence;
+            }
+            if (!onTheWay.empty() && random(4) != 0) {
+                const auto index = random(3) == 0
+                    ? random(static_cast<std::uint32_t>(onTheWay.size()))
+                    : onTheWay.size() - 1;
+                const auto report = onTheWay[index];
+                onTheWay.erase(onTheWay.begin() + static_cast<std::ptrdiff_t>(index));
+                const auto grants = granter.handle(report, catalog);
+                auto      &sender = owners.at(report.pool);
+                const auto isAwaited =
+                    sender.token == report.token && sender.awaited == report.sequence;
+                if (isAwaited && random(5) != 0) {
+                    sender.coordinator = granter.token;
+                    sender.allowance =
+                        grants.empty() ? sender.allowance : grants.front().allowance.cpu;
+                }
+                sender.awaited = isAwaited ? 0 : sender.awaited;
+            }
+            const auto ended = static_cast<std::int64_t>(random(2'000));
+            const auto started = static_cast<std::int64_t>(random(4'000));
+            owner.used = std::max<std::int64_t>(0, owner.used - ended);
+            owner.used = std::max(owner.used, std::min(owner.allowance, owner.used + started));
+            const auto sum = owners.at("p").used + owners.at("q").used;
+            most = std::max(most, sum);
+            cr_assert_leq(sum, kMaximum, "seed %lu round %d", static_cast<unsigned long>(seed),
+                          round);
+        }
+        cr_assert_gt(most, kMaximum / 2, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
 Test(planner, a_machine_is_maintained_only_when_it_is_empty_and_cordoned)
 {
     auto fleet = Fleet(6, withoutMoves());
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -694,3 +694,83 @@
         cr_assert_not(node.holds("other", "c"));
     }
 }
+
+namespace {
+
+// Answers nothing.
+class FakeMachines final : public MachineService
+{
+public:
+    auto list(ListSlot /*slot*/) -> void override { }
+    auto move(const std::string & /*machine*/, const std::string & /*pool*/,
+              const CoordinatorIdentity & /*coordinator*/, OrderSlot /*slot*/) -> void override
+    {
+    }
+    auto maintain(const std::string & /*machine*/, const std::string & /*wave*/,
+                  const CoordinatorIdentity & /*coordinator*/, OrderSlot /*slot*/) -> void override
+    {
+    }
+};
+
+// A node that is the coordinator too, and the only owner.
+struct CoordinatorFixture : NodeFixture {
+    CoordinatorFixture()
+    {
+        store.rules.tenants.push_back({"team", {"key"}, 1, {16'000, 0, 0}});
+        ++store.rules.version;
+        cr_assert(
+            runUntil([&] { return directory.view().catalog.version() == store.rules.version; }));
+        cr_assert(awaitOwner(5));
+    }
+
+    auto makeReport(std::int64_t token, std::int64_t sequence) -> PoolReport
+    {
+        auto report = PoolReport{};
+        report.pool = "pool";
+        report.token = token;
+        report.sequence = sequence;
+        report.coordinator = 5;
+        report.tenants.push_back({"team", {}, {}, {8'000, 0, 0}});
+        return report;
+    }
+
+    FakeMachines    machines;
+    CoordinatorTask coordinator{loop, {store, machines, store}, settings, directory, ownership};
+};
+
+} // namespace
+
+// Guards against a maximum that is granted twice, and machines that are taken for idle: a former owner's report took
+// the place of the present one's.
+Test(node, the_coordinator_passes_over_reports_of_former_owners_and_late_ones)
+{
+    auto       fixture = CoordinatorFixture();
+    const auto isGranted = [&](const PoolReport &report) {
+        const auto direction = fixture.coordinator.handle(report);
+        cr_assert(direction.has_value());
+        return !direction->grants.empty();
+    };
+    auto unproven = fixture.makeReport(7, 1);
+    unproven.coordinator = 4;
+    cr_assert_not(isGranted(unproven));
+    cr_assert(isGranted(fixture.makeReport(7, 2)));
+    cr_assert_not(isGranted(fixture.makeReport(6, 9)));
+    cr_assert_not(isGranted(fixture.makeReport(7, 2)));
+    cr_assert(isGranted(fixture.makeReport(7, 3)));
+}
+
+// Guards against the report of an owner that was frozen beyond its term, sent before it learns of its successor.
+Test(node, an_owner_out_of_its_term_reports_nothing)
+{
+    auto       fixture = CoordinatorFixture();
+    auto       reporter = ReporterTask(fixture.loop, fixture.peers, fixture.settings, fixture.pools,
+                                       fixture.coordinator, fixture.ownership);
+    auto      &pool = *fixture.pools.pools().at("pool");
+    const auto countReports = [&] { return pool.makeReport().sequence; };
+    cr_assert(fixture.runUntil([&, first = countReports()] { return countReports() > first + 2; }));
+    fixture.store.areRenewalsLost = true;
+    cr_assert(fixture.runUntil([&] { return !pool.isInTerm(); }));
+    const auto last = countReports();
+    fixture.run(5 * fixture.settings.reportIntervalMs);
+    cr_assert_eq(countReports(), last + 1);
+}
