Coordinator: wait for pools that run jobs and have no queue

Cause: a new coordinator grants nothing before all pools have reported, and counted only those with a queue. Change: it waits for all declared pools. Owners report on dormant pools too, without their workers: until one report has counted, then once a second, or at once if the coordinator changes. The planner passes over these. Evidence: quota/a_new_ledger_waits_for_pools_that_run_jobs_but_have_no_queue failed before. Its call copied the one of handle() with the pools that have queues, so no code could make it pass; it now copies the new call, and asks more: what is granted once the third pool has reported. node/a_new_coordinator_waits_for_pools_without_a_queue asks the same of handle() itself. Ruled out: that a report of the pool without a queue was lost (it has not been made yet).

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -57,10 +57,10 @@
     // Needed by tasks, late ones too, that wait until the owner has caught up. They keep the pool's workers busy
     // then, and request no more of them.
     ResourceSet  ownerLimited;
-    // Which reports count: see ReportOrder.
-    std::int64_t sequence = 0; // Increases with each report of this owner.
-    std::int64_t coordinator =
-        0; // Token of the last coordinator that directed this owner. 0: none.
+    // For ReportOrder.
+    std::int64_t sequence = 0;      // Increases with each report of this owner.
+    std::int64_t coordinator = 0;   // Token of the coordinator that directed it last. 0: none.
+    bool         isDormant = false; // It has nothing to do and no queue. Names no workers.
 };
 
 struct TenantGrant {
@@ -111,7 +111,8 @@
 {
 public:
     // Commands.
-    auto setPools(std::set<std::string> pools) -> void; // All pools that have queues.
+    // All pools that may run something: also those that no queue leads to any more.
+    auto setPools(std::set<std::string> pools) -> void;
     // Only for reports that count: see ReportOrder.
     auto grant(const PoolReport &report, const Catalog &catalog) -> std::vector<TenantGrant>;
 
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -9,6 +9,8 @@
 constexpr int    kHttpOk = 200;
 constexpr TimeMs kStatusIntervalMs = 1'000;  // Interval of a pool's status in the log.
 constexpr TimeMs kMachineCallMarginMs = 800; // Calls to machines end this long before the term.
+// Interval of reports on a dormant pool, once the coordinator knows that nothing runs there.
+constexpr TimeMs kDormantReportMs = 1'000;
 
 } // namespace
 
@@ -114,11 +116,12 @@
         return std::nullopt;
     }
     const auto &catalog = directory_.view().catalog;
-    const auto  pools = catalog.activePools();
-    tenure_->ledger.setPools({pools.begin(), pools.end()});
+    tenure_->ledger.setPools(catalog.declaredPools());
     auto direction = PoolDirection{tenure_->token, {}, {}};
     if (tenure_->order.accept(report)) {
-        tenure_->planner.onReport(bootMs(), report);
+        if (!report.isDormant) {
+            tenure_->planner.onReport(bootMs(), report);
+        }
         direction.grants = tenure_->ledger.grant(report, catalog);
     } else {
         logEvent(LogLevel::Info, "report.ignored",
@@ -256,19 +259,28 @@
 auto ReporterTask::report() -> void
 {
     for (auto &[name, pool] : pools_.pools()) {
-        if (pool->isReady() && pool->isInTerm() && !pool->isDormant() && !pool->isFenced()
-            && !pendingReports_.contains(name)) {
+        if (pool->isReady() && pool->isInTerm() && !pool->isFenced()
+            && !pendingReports_.contains(name) && isReportDue(name, *pool)) {
             reportPool(name, *pool);
         }
     }
 }
 
+// A new coordinator grants nothing before it knows what each pool runs, so it is told of dormant ones at once.
+auto ReporterTask::isReportDue(const std::string &name, const PoolTask &pool) const -> bool
+{
+    const auto settled = settled_.find(name);
+    return !pool.isDormant() || settled == settled_.end()
+        || settled->second.coordinator != ownership_.memberOf(kCoordinatorName)
+        || bootMs() >= settled->second.until;
+}
+
 // Sends one report of a pool at a time, so that each has the allowances that the last reply set. An owner out of its
 // term may have been replaced, and sends none.
 auto ReporterTask::reportPool(const std::string &name, PoolTask &pool) -> void
 {
     const auto report = pool.makeReport();
-    if (bootMs() >= nextStatusAt_[name]) {
+    if (!report.isDormant && bootMs() >= nextStatusAt_[name]) {
         nextStatusAt_[name] = bootMs() + kStatusIntervalMs;
         logStatus(report, pool);
     }
@@ -276,7 +288,7 @@
     if (member == ownership_.member()) {
         const auto direction = coordinator_.handle(report);
         if (direction) {
-            onDirection(name, report.token, *direction);
+            onDirection(report, member, *direction);
         }
         return;
     }
@@ -291,8 +303,12 @@
                          {{"Content-Type", "application/msgpack"}},
                          packReport(report),
                          settings_.ownerCallTimeoutMs};
+    auto sent = PoolReport{}; // What the answer is compared with.
+    sent.pool = name;
+    sent.token = report.token;
+    sent.coordinator = report.coordinator;
     peers_.request(address, std::move(call),
-                   [this, name, token = report.token](const HttpResult &result) {
+                   [this, name, member, sent = std::move(sent)](const HttpResult &result) {
                        pendingReports_.erase(name);
                        if (!result.isComplete || result.status != kHttpOk) {
                            ownership_.refreshOwners();
@@ -300,7 +316,7 @@
                        }
                        const auto direction = unpackDirection(result.body);
                        if (direction.ok()) {
-                           onDirection(name, token, *direction);
+                           onDirection(sent, member, *direction);
                        } else {
                            logEvent(LogLevel::Warning, "peer.bad_direction",
                                     {{"error", direction.status().ToString()}});
@@ -339,16 +355,20 @@
               {"max_tick_gap_ms", activity.maxTickGapMs}});
 }
 
-auto ReporterTask::onDirection(const std::string &name, std::int64_t token,
+auto ReporterTask::onDirection(const PoolReport &report, const std::string &coordinator,
                                const PoolDirection &direction) -> void
 {
-    const auto found = pools_.pools().find(name);
-    const auto isCurrent = found != pools_.pools().end() && found->second->identity().token == token
-        && direction.token >= newestToken_;
-    if (isCurrent) {
-        newestToken_ = direction.token;
-        found->second->applyDirection(direction);
+    const auto found = pools_.pools().find(report.pool);
+    const auto isCurrent = found != pools_.pools().end()
+        && found->second->identity().token == report.token && direction.token >= newestToken_;
+    if (!isCurrent) {
+        return;
+    }
+    newestToken_ = direction.token;
+    if (report.coordinator == direction.token) { // So it has counted.
+        settled_[report.pool] = {coordinator, bootMs() + kDormantReportMs};
     }
+    found->second->applyDirection(direction);
 }
 
 } // namespace peridotwalk
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -19,7 +19,7 @@
     PERIDOTWALK_WIRE(WorkerLoad, v.id, v.runs, v.unboundedRuns, v.cpu, v.unboundedCpu, v.isCordoned,
                      v.isUsable, v.expiredCpu)
     PERIDOTWALK_WIRE(PoolReport, v.pool, v.token, v.tenants, v.workers, v.wanted, v.perWorker,
-                     v.wantedLate, v.ownerLimited, v.sequence, v.coordinator)
+                     v.wantedLate, v.ownerLimited, v.sequence, v.coordinator, v.isDormant)
     PERIDOTWALK_WIRE(TenantGrant, v.tenant, v.allowance)
     PERIDOTWALK_WIRE(PoolDirection, v.token, v.grants, v.cordoned)
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -464,10 +464,17 @@
 
 private:
     auto report() -> void;
+    // The coordinator, by its member's name, knows the last report on a pool.
+    struct Settled {
+        std::string coordinator;
+        TimeMs      until = 0; // When to report on the pool again while it is dormant.
+    };
+
+    auto isReportDue(const std::string &name, const PoolTask &pool) const -> bool;
     auto reportPool(const std::string &name, PoolTask &pool) -> void;
     auto logStatus(const PoolReport &report, PoolTask &pool) -> void;
-    auto onDirection(const std::string &name, std::int64_t token, const PoolDirection &direction)
-        -> void;
+    auto onDirection(const PoolReport &report, const std::string &coordinator,
+                     const PoolDirection &direction) -> void;
 
     ConnectionPool       &peers_;
     const NodeSettings   &settings_;
@@ -476,8 +483,9 @@
     OwnershipTask        &ownership_;
     std::set<std::string> pendingReports_;  // Pools whose report has no answer yet.
     std::int64_t          newestToken_ = 0; // Highest coordinator token. Lower ones are ignored.
-    std::map<std::string, TimeMs> nextStatusAt_; // When to log the next status, by pool.
-    std::unique_ptr<Timer>        timer_;
+    std::map<std::string, TimeMs>  nextStatusAt_; // When to log the next status, by pool.
+    std::map<std::string, Settled> settled_;      // By pool.
+    std::unique_ptr<Timer>         timer_;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/pool_task.cpp
+++ b/src/node/pool_task.cpp
@@ -159,6 +159,10 @@
     auto report = scheduler_->report();
     report.sequence = ++lastReport_;
     report.coordinator = coordinator_;
+    report.isDormant = isDormant();
+    if (report.isDormant) {
+        report.workers.clear();
+    }
     return report;
 }
 
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -856,13 +856,16 @@
 // isn't known yet.
 Test(quota, a_new_ledger_waits_for_pools_that_run_jobs_but_have_no_queue)
 {
-    const auto catalog = makeCatalog(1'000);
+    const auto catalog = makeCatalog(1'000); // Has a third pool, without a queue.
     auto       ledger = QuotaLedger();
-    const auto pools = catalog.activePools(); // As CoordinatorTask::handle().
-    ledger.setPools({pools.begin(), pools.end()});
+    ledger.setPools(catalog.declaredPools()); // As CoordinatorTask::handle().
     ledger.grant(makeReport("p", 100, 0, 1'000), catalog);
     ledger.grant(makeReport("q", 100, 0, 0), catalog);
-    // A third pool runs 800 of what the previous coordinator granted.
+    // The third pool runs 800 of what the previous coordinator granted.
     const auto grants = ledger.grant(makeReport("p", 100, 0, 1'000), catalog);
     cr_assert(grants.empty() || grants.front().allowance.cpu + 800 <= 1'000);
+    cr_assert_not(ledger.isComplete());
+    ledger.grant(makeReport("standby", 800, 800, 0), catalog);
+    cr_assert(ledger.isComplete());
+    cr_assert_leq(ledger.grant(makeReport("p", 100, 0, 1'000), catalog).front().allowance.cpu, 200);
 }
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -774,3 +774,44 @@
     fixture.run(5 * fixture.settings.reportIntervalMs);
     cr_assert_eq(countReports(), last + 1);
 }
+
+// Guards against the same after a change of the coordinator: a pool whose queue was removed still runs what the previous
+// coordinator granted. A dormant pool tells once that it runs nothing, and holds nothing back.
+Test(node, a_new_coordinator_waits_for_pools_without_a_queue)
+{
+    auto       fixture = CoordinatorFixture();
+    const auto grantOf = [&](std::int64_t sequence) {
+        const auto direction = fixture.coordinator.handle(fixture.makeReport(7, sequence));
+        return direction->grants.front().allowance.cpu;
+    };
+    fixture.store.rules.pools.push_back({"pool", false, false});
+    fixture.store.rules.pools.push_back({"former", false, false});
+    ++fixture.store.rules.version;
+    cr_assert(fixture.runUntil(
+        [&] { return fixture.directory.view().catalog.version() == fixture.store.rules.version; }));
+    cr_assert_eq(grantOf(1), 0);
+    cr_assert_eq(grantOf(2), 0);
+    auto former = fixture.makeReport(7, 1);
+    former.pool = "former";
+    former.tenants.front() = {"team", {12'000, 0, 0}, {12'000, 0, 0}, {}};
+    fixture.coordinator.handle(former);
+    const auto granted = grantOf(3);
+    cr_assert_gt(granted, 0);
+    cr_assert_leq(granted, 4'000);
+}
+
+Test(node, a_dormant_pool_tells_each_coordinator_that_it_runs_nothing)
+{
+    auto fixture = CoordinatorFixture();
+    fixture.store.rules.pools.push_back({"former", false, false});
+    ++fixture.store.rules.version;
+    cr_assert(fixture.awaitOwner(5, "former"));
+    auto reporter = ReporterTask(fixture.loop, fixture.peers, fixture.settings, fixture.pools,
+                                 fixture.coordinator, fixture.ownership);
+    cr_assert(fixture.pools.pools().at("former")->isDormant());
+    cr_assert(fixture.runUntil([&, sequence = std::int64_t{0}]() mutable {
+        const auto direction = fixture.coordinator.handle(fixture.makeReport(7, ++sequence));
+        return direction && !direction->grants.empty()
+            && direction->grants.front().allowance.cpu >= 8'000;
+    }));
+}
