Allowances fall below what is used when a maximum is lowered

Cause: the coordinator granted no pool less than it uses, and a pool with a backlog uses all of its allowance whenever it reports. Change: an allowance may be less than what is used; the pool takes one for at most the maximum that its rules name, so that it needn't wait for the coordinator. Evidence: quota/a_lowered_maximum_lets_no_pool_refill and pool/a_lowered_maximum_counts_before_the_coordinator_lowers_the_allowance failed before and pass. Ruled out: nodes that hadn't read the version.

--- a/src/coordinator/quota.cpp
+++ b/src/coordinator/quota.cpp
@@ -16,11 +16,10 @@
     if (maximum == 0) {
         return 0; // The tenant has no limit, so the pool ignores the allowance.
     }
+    // Less than what is used, if the maximum was lowered: a pool with a backlog would use all of it at all times.
     const auto desired = std::min(maximum, used + wanted + maximum / kHeadroomDivisor);
-    if (!mayGrow) {
-        return std::min(held, std::max(desired, used));
-    }
-    return std::max(std::min(desired, maximum - others), std::min(held, used));
+    return std::max<std::int64_t>(
+        0, mayGrow ? std::min(desired, maximum - others) : std::min(desired, held));
 }
 
 } // namespace
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -315,7 +315,11 @@
         const auto found = amounts.find(tenant);
         return found == amounts.end() ? ResourceSet{} : found->second;
     };
+    // The allowance may be of a time when the maximum was higher.
     auto remaining = find(allowances_);
+    remaining.cpu = std::min(remaining.cpu, rule->maximum.cpu);
+    remaining.memoryMb = std::min(remaining.memoryMb, rule->maximum.memoryMb);
+    remaining.accelerators = std::min(remaining.accelerators, rule->maximum.accelerators);
     remaining -= find(tenantUsed_);
     remaining -= planned;
     const auto within = [&](std::int64_t maximum, std::int64_t left, std::int64_t each) {
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -255,6 +255,46 @@
     }
 }
 
+// Guards against starts above a maximum that was lowered: an allowance never fell below what the pool uses, and a pool
+// with a backlog uses all of it at all times. Replies are lost, and coordinators change meanwhile.
+Test(quota, a_lowered_maximum_lets_no_pool_refill)
+{
+    constexpr std::int64_t kLowered = 4'000;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        auto random = pcg32(seed);
+        auto granter = Granter(1);
+        auto owners = std::map<std::string, FakeOwner>{
+            {"p", {.coordinator = 1, .allowance = 8'000, .used = 8'000}},
+            {"q", {.coordinator = 1, .allowance = 8'000, .used = 8'000}}};
+        std::int64_t usedAtEnd = 0;
+        for (auto round = 0; round < 400; ++round) {
+            const auto catalog = makeCatalog(round < 20 ? 16'000 : kLowered);
+            if (random(60) == 0) {
+                granter = Granter(granter.token + 1);
+            }
+            for (auto &[name, owner] : owners) {
+                const auto grants = granter.handle(owner.makeReport(name, 20'000), catalog);
+                const auto isKnown = round < 20 || random(3) != 0;
+                if (isKnown) {
+                    owner.coordinator = granter.token;
+                    owner.allowance =
+                        grants.empty() ? owner.allowance : grants.front().allowance.cpu;
+                }
+                owner.used -= random(4) == 0 ? std::min<std::int64_t>(owner.used, 1'000) : 0;
+                const auto others = owners.at("p").used + owners.at("q").used - owner.used;
+                const auto refilled = std::max(owner.used, owner.allowance);
+                const auto hasLearned = round > 40; // Replies that were lost came through by then.
+                cr_assert(!hasLearned || refilled == owner.used || others + refilled <= kLowered,
+                          "seed %lu round %d: %ld beside %ld", static_cast<unsigned long>(seed),
+                          round, static_cast<long>(refilled), static_cast<long>(others));
+                owner.used = refilled;
+            }
+            usedAtEnd = owners.at("p").used + owners.at("q").used;
+        }
+        cr_assert_gt(usedAtEnd, kLowered / 2);
+    }
+}
+
 // Guards against a maximum that is granted twice: the report of an owner that was frozen and replaced took the place of
 // the present owner's.
 Test(quota, the_report_of_a_former_owner_doesnt_count)
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -419,6 +419,30 @@
     cr_assert(world.owner().report().tenants.front().used.cpu == 3'000);
 }
 
+// Guards against starts above a maximum that was lowered, until the coordinator has said so: its owner knows the rules.
+Test(pool, a_lowered_maximum_counts_before_the_coordinator_lowers_the_allowance)
+{
+    auto world = PoolWorld(1, {}, 3);
+    addTeam(world, 8'000);
+    auto job = makeJob("a", {makeStep(40, 1'000)});
+    job.tenant = "team";
+    world.submit(job);
+    world.applyDirection({1, {{"team", {8'000, 0, 0}}}, {}});
+    world.run(500);
+    cr_assert_eq(world.owner().countRuns(), 8U);
+    world.changeView([&](FleetView &view) {
+        auto rules = view.catalog.rules();
+        ++rules.version;
+        rules.tenants.front().maximum.cpu = 3'000;
+        view.catalog = Catalog(rules);
+    });
+    world.run(1'500);
+    cr_assert_eq(world.owner().countRuns(), 3U);
+    world.run(3'000);
+    cr_assert_eq(world.owner().countRuns(), 3U);
+    expectNoViolations(world);
+}
+
 // A start order that stays unanswered has perhaps started nothing, so the job still waits for its callers.
 Test(pool, a_job_is_pending_until_a_worker_confirms_a_run)
 {
