Leases: know a restart by the worker's entries, not by its age

Cause: a new owner counted with the longest lease of each worker that had started within 25 s. Most of those are new machines under new ids, which no order of before can reach. Change: the fleet view keeps when an entry showed another start under its id, also if the entry was gone meanwhile. Only then, and only for as long as such orders can arrive, a new owner counts with the longest lease.

--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -7,8 +7,6 @@
 // Longest wait of a poll for changes. Bounds the time until a lost connection is noticed.
 constexpr TimeMs kOperatorsPollMs = 700;
 constexpr TimeMs kOperatorsRetryMs = 200;
-// Longer than any lease: after that, a removed worker counts as one that was never seen.
-constexpr TimeMs kRemovedWorkersKeptMs = 120'000;
 
 } // namespace
 
@@ -108,10 +106,9 @@
     for (const auto &change : page.changes) {
         if (const auto *worker = std::get_if<WorkerChanged>(&change)) {
             if (worker->report) {
-                view_.workers[worker->id] = *worker->report;
-                view_.removed.erase(worker->id);
-            } else if (view_.workers.erase(worker->id) > 0) {
-                view_.removed[worker->id] = bootMs();
+                view_.addWorker(bootMs(), *worker->report);
+            } else if (view_.workers.contains(worker->id)) {
+                view_.removeWorker(bootMs(), worker->id);
             }
         } else if (const auto *rules = std::get_if<CatalogChanged>(&change)) {
             if (rules->rules.version > view_.catalog.version()) {
@@ -141,11 +138,10 @@
             }
         }
     }
-    std::erase_if(view_.removed,
-                  [](const auto &item) { return bootMs() - item.second > kRemovedWorkersKeptMs; });
+    view_.forgetWorkers(bootMs());
     for (const auto &[id, report] : previous) {
         if (!view_.workers.contains(id)) {
-            view_.removed[id] = bootMs();
+            view_.removeWorker(bootMs(), id);
         }
     }
     if (!page.changes.empty()) {
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -81,7 +81,6 @@
 auto PoolScheduler::State::restore(Moment now, JobTable &&jobs) -> void
 {
     ownedSince_ = now.steadyMs;
-    ownedSinceWallMs_ = now.wallMs;
     for (auto &[id, job] : jobs) {
         auto &entry = jobs_[id];
         entry.job = std::move(job);
--- a/src/pool/leases.cpp
+++ b/src/pool/leases.cpp
@@ -35,7 +35,7 @@
         return;
     }
     if (clockMs < worker.clockMs - kMaxClockStepMs) {
-        worker.leaseUntilMs = clockMs + earlierLease(now, worker, clockMs);
+        worker.leaseUntilMs = clockMs + earlierLease(now, worker);
         worker.grantedUntilMs = clockMs;
     }
     worker.clockMs = clockMs;
@@ -43,11 +43,9 @@
 }
 
 // Returns how long everything on a worker may still run by leases sent before the first answer of its
-// incarnation, which shows `clockMs`. Those on the clock of an earlier incarnation end far in the future on this
-// one's, so that the worker cuts them to its maximum; they may be late. Those of the previous owner on this clock
-// end as its handover says.
-auto PoolScheduler::State::earlierLease(Moment now, const Worker &worker, TimeMs clockMs) const
-    -> TimeMs
+// incarnation. Those on the clock of an earlier incarnation end far in the future on this one's, so that the worker
+// cuts them to its maximum; they may be late. Those of the previous owner on this clock end as its handover says.
+auto PoolScheduler::State::earlierLease(Moment now, const Worker &worker) const -> TimeMs
 {
     if (worker.startedAtMs != kNoStartedAt) {
         const auto sentAt =
@@ -63,42 +61,45 @@
             lease = std::clamp(left, settings_.leaseMs, settings_.maxLeaseMs);
         }
     }
-    // The clock of an incarnation starts at 0.
-    const auto byEarlierIncarnation = kLongestReachMs + settings_.maxLeaseMs - clockMs;
-    return std::clamp(byEarlierIncarnation, lease, settings_.maxLeaseMs);
+    return lease;
 }
 
-// Returns the longest lease that the previous owner may have sent to a worker that hasn't answered this one. The
-// worker's entry tells whether orders on the clock of an earlier incarnation may have reached it.
-auto PoolScheduler::State::previousOwnersLease(const Worker &worker) const -> TimeMs
+// Returns when a lease has expired for certain that an order of an earlier owner on the clock of an earlier incarnation
+// may have given. They reach the worker until kLongestReachMs after its restart, and `until`. 0: it hasn't restarted.
+auto PoolScheduler::State::earlierOwnersExpiry(const Worker &worker, TimeMs until) const -> TimeMs
 {
-    const auto startedAtMs = worker.report.startedAtMs;
-    const auto isRecent =
-        startedAtMs > 0 && ownedSinceWallMs_ - startedAtMs < kLongestReachMs + settings_.maxLeaseMs;
-    return withClockError(isRecent ? settings_.maxLeaseMs : settings_.leaseMs);
+    const auto restarted = view_.restarted.find(worker.peer.id);
+    return restarted == view_.restarted.end() ? 0
+                                              : std::min(until, restarted->second + kLongestReachMs)
+            + withClockError(settings_.maxLeaseMs);
 }
 
 // Returns when the lease of a silent worker has expired for certain, on our steady clock.
 auto PoolScheduler::State::leaseExpiry(const Worker &worker) const -> TimeMs
 {
     if (!worker.hasAnsweredHold || worker.clockAt == 0) {
-        const auto lease = previousOwnersLease(worker);
-        if (previousHandover_ && previousHandover_->expiresInMs.contains(worker.peer.id)) {
-            const auto left = previousHandover_->expiresInMs.at(worker.peer.id);
-            const auto isLonger = lease > withClockError(settings_.leaseMs);
-            return ownedSince_ + (isLonger ? std::max(left, lease) : left);
-        }
-        // The previous owner may have extended leases until its offline extension ended. But no owner
-        // extends the lease of a worker whose entry it has seen removed, or without a fresh view.
-        const auto byOwner = ownedSince_ + settings_.offlineExtensionMs + lease;
-        const auto missingSince = view_.missingSince(worker.peer.id);
-        if (worker.isListed || !missingSince) {
-            return byOwner;
-        }
-        return std::min(byOwner, *missingSince + settings_.maxViewAgeMs + lease);
+        // The previous owner may have extended leases until its offline extension ended.
+        const auto until = ownedSince_ + settings_.offlineExtensionMs;
+        return std::max(previousOwnersExpiry(worker, until), earlierOwnersExpiry(worker, until));
     }
     const auto left = std::max<TimeMs>(0, worker.leaseUntilMs - worker.clockMs);
-    return worker.clockAt + withClockError(left);
+    return std::max(worker.clockAt + withClockError(left),
+                    earlierOwnersExpiry(worker, worker.answeredSince));
+}
+
+// Returns the same for the leases of the previous owner on the worker's present clock.
+auto PoolScheduler::State::previousOwnersExpiry(const Worker &worker, TimeMs until) const -> TimeMs
+{
+    if (previousHandover_ && previousHandover_->expiresInMs.contains(worker.peer.id)) {
+        return ownedSince_ + previousHandover_->expiresInMs.at(worker.peer.id);
+    }
+    // No owner extends the lease of a worker whose entry it has seen removed, or without a fresh view.
+    const auto lease = withClockError(settings_.leaseMs);
+    const auto missingSince = view_.missingSince(worker.peer.id);
+    if (worker.isListed || !missingSince) {
+        return until + lease;
+    }
+    return std::min(until, *missingSince + settings_.maxViewAgeMs) + lease;
 }
 
 // Returns the lease end to send. Never more than the length of a lease, whatever the worker may have from others: the
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -14,6 +14,37 @@
 // [SECTION] Fleet view
 //-----------------------------------------------------------------------------
 
+auto FleetView::addWorker(TimeMs now, const WorkerReport &report) -> void
+{
+    workers[report.id] = report;
+    removed.erase(report.id);
+    const auto [start, isNew] = startedAt.try_emplace(report.id, report.startedAtMs);
+    if (!isNew && std::exchange(start->second, report.startedAtMs) != report.startedAtMs) {
+        restarted[report.id] = now;
+    }
+}
+
+auto FleetView::removeWorker(TimeMs now, const std::string &id) -> void
+{
+    workers.erase(id);
+    removed[id] = now;
+}
+
+auto FleetView::forgetWorkers(TimeMs now) -> void
+{
+    // Longer than any lease: after that, a removed worker counts as one that was never seen.
+    constexpr TimeMs kRemovedWorkersKeptMs = 120'000;
+    std::erase_if(removed, [&](const auto &item) {
+        const auto isOld = now - item.second > kRemovedWorkersKeptMs;
+        if (isOld) {
+            startedAt.erase(item.first);
+        }
+        return isOld;
+    });
+    std::erase_if(restarted,
+                  [&](const auto &item) { return now - item.second > kRemovedWorkersKeptMs; });
+}
+
 auto FleetView::missingSince(const std::string &worker) const -> std::optional<TimeMs>
 {
     const auto found = removed.find(worker);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -82,8 +82,14 @@
     std::map<std::string, WaveOrder>    waves;      // By name.
     std::map<std::string, WorkerReport> workers;    // Listed workers, by id.
     std::map<std::string, TimeMs>       removed;    // When a worker's entry was removed, by id.
+    std::map<std::string, TimeMs>       restarted;  // When another start time was seen, by id.
+    std::map<std::string, std::int64_t> startedAt;  // Last one of each, also if just removed.
     TimeMs                              readAt = 0; // When `workers` was last up to date. 0: never.
 
+    auto addWorker(TimeMs now, const WorkerReport &report) -> void;
+    auto removeWorker(TimeMs now, const std::string &id) -> void;
+    auto forgetWorkers(TimeMs now)
+        -> void; // Those that were removed so long ago that nothing of them matters.
     // Returns when the worker's entry was removed. Nothing: it is listed, or its entry was never seen
     // here, perhaps because this node lags behind.
     auto missingSince(const std::string &worker) const -> std::optional<TimeMs>;
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -71,13 +71,14 @@
     TimeMs       leaseUntilMs = 0;           // Latest end that its lease may have, on its clock.
     TimeMs       grantedUntilMs = 0;         // Lease end that this owner sent last, on its clock.
     TimeMs       leaseSentAt = 0;            // When this owner sent it. 0: never.
-    TimeMs       nextHoldAt = 0;             // Earliest time of the next hold.
-    TimeMs       lastHeldAt = 0;             // Last answered hold.
-    int          holdFailures = 0;           // In a row. Above 0 the worker counts as silent.
-    int          consecutiveFailures = 0;    // Failed runs in a row.
-    std::int64_t listings = 0;               // Listings read.
-    bool         mayOweOrders = false;       // A run may need a start or stop order.
-    TimeMs       backoffUntil = 0;           // Gets no new runs before.
+    TimeMs       answeredSince = 0; // First answer to this owner. Previous ones are fenced since.
+    TimeMs       nextHoldAt = 0;    // Earliest time of the next hold.
+    TimeMs       lastHeldAt = 0;    // Last answered hold.
+    int          holdFailures = 0;  // In a row. Above 0 the worker counts as silent.
+    int          consecutiveFailures = 0; // Failed runs in a row.
+    std::int64_t listings = 0;            // Listings read.
+    bool         mayOweOrders = false;    // A run may need a start or stop order.
+    TimeMs       backoffUntil = 0;        // Gets no new runs before.
 
     auto freeCapacity() const -> ResourceSet; // Capacity that isn't in use.
 };
@@ -268,8 +269,9 @@
     auto        setClock(Moment now, Worker &worker, TimeMs clockMs) -> void;
     auto        extendLease(Moment now, Worker &worker) -> TimeMs;
     auto        leaseExpiry(const Worker &worker) const -> TimeMs;
-    auto        earlierLease(Moment now, const Worker &worker, TimeMs clockMs) const -> TimeMs;
-    auto        previousOwnersLease(const Worker &worker) const -> TimeMs;
+    auto        earlierLease(Moment now, const Worker &worker) const -> TimeMs;
+    auto        earlierOwnersExpiry(const Worker &worker, TimeMs until) const -> TimeMs;
+    auto        previousOwnersExpiry(const Worker &worker, TimeMs until) const -> TimeMs;
     static auto hasJustAnswered(Moment now, const Worker &worker) -> bool;
 
     // Placement (placement.cpp)
@@ -318,9 +320,8 @@
     PoolIdentity                                 identity_;
     PoolSettings                                 settings_;
     const FleetView                             &view_;
-    TimeMs                                       termUntil_ = 0;        // See setTerm().
-    TimeMs                                       ownedSince_ = 0;       // Time of restore().
-    std::int64_t                                 ownedSinceWallMs_ = 0; // The same, wall clock.
+    TimeMs                                       termUntil_ = 0;  // See setTerm().
+    TimeMs                                       ownedSince_ = 0; // Time of restore().
     bool                                         isFenced_ = false;
     bool                                         needsSchedule_ = false;
     TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -380,12 +380,13 @@
     }
     setClock(now, worker, reply.clockMs);
     if (worker.startedAtMs != reply.startedAtMs) {
-        worker.leaseUntilMs = reply.clockMs + earlierLease(now, worker, reply.clockMs);
+        worker.leaseUntilMs = reply.clockMs + earlierLease(now, worker);
         worker.grantedUntilMs = reply.clockMs;
         worker.startedAtMs = reply.startedAtMs;
         worker.seenEnd = 0;
         worker.recordedEnd = 0;
     }
+    worker.answeredSince = worker.hasAnsweredHold ? worker.answeredSince : now.steadyMs;
     worker.hasAnsweredHold = true;
     worker.holdFailures = 0;
     worker.lastHeldAt = now.steadyMs;
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -66,7 +66,7 @@
         worker.report.rack = fmt::format("r{}", number / 2);
         worker.startedAt = now_.steadyMs - 50'000;
         worker.report.startedAtMs = startOf(worker);
-        view_.workers[id] = worker.report;
+        view_.addWorker(now_.steadyMs, worker.report);
     }
     takeOver();
 }
@@ -174,7 +174,9 @@
         worker.startedAt = now_.steadyMs;
         worker.report.startedAtMs = startOf(worker);
         if (const auto entry = view_.workers.find(worker.report.id); entry != view_.workers.end()) {
-            entry->second.startedAtMs = worker.report.startedAtMs;
+            auto report = entry->second;
+            report.startedAtMs = worker.report.startedAtMs;
+            view_.addWorker(now_.steadyMs, report);
             owner_->onViewChanged(now_);
         }
         worker.token = 0;
@@ -189,10 +191,7 @@
     worker.isUp = false;
     forgetRuns(worker);
     runLater(kEntryRemovalMs, [this, id] {
-        changeView([&](FleetView &view) {
-            view.workers.erase(id);
-            view.removed[id] = now_.steadyMs;
-        });
+        changeView([&](FleetView &view) { view.removeWorker(now_.steadyMs, id); });
     });
 }
 
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -918,6 +918,55 @@
     }
 }
 
+// Guards against work that waits for nothing: a machine that has just started has no earlier incarnation.
+Test(pool, a_new_machine_that_falls_silent_is_waited_for_no_longer_than_others)
+{
+    for (const auto hasAnswered : {false, true}) {
+        auto world = PoolWorld(1, {}, 2);
+        world.changeView([&](FleetView &view) {
+            auto report = view.workers.at("w0");
+            report.startedAtMs = world.now().wallMs;
+            view.removeWorker(world.now().steadyMs, "w0");
+            view.startedAt.erase("w0");
+            view.addWorker(world.now().steadyMs, report);
+        });
+        world.workers().at("w0").startedAt = world.now().steadyMs;
+        addLabel(world, "w0");
+        world.submit(makeLabelledJob());
+        world.run(1'000);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+        addLabel(world, "w1");
+        world.takeOver();
+        world.run(hasAnswered ? 50 : 0);
+        world.isolate("w0");
+        world.run(world.settings().maxLeaseMs);
+        cr_assert_eq(world.countStarts(firstTask("a")), 2);
+        world.run(5'000);
+        expectNoViolations(world);
+    }
+}
+
+// Guards against a restart that nobody notices, as the worker's entry was gone meanwhile.
+Test(pool, a_restart_is_known_also_if_the_entry_was_removed_meanwhile)
+{
+    auto view = FleetView();
+    auto report = WorkerReport();
+    report.id = "w";
+    report.startedAtMs = 1'000;
+    view.addWorker(10, report);
+    view.removeWorker(20, "w");
+    view.addWorker(30, report); // Its entry had expired while the store was down.
+    cr_assert(view.restarted.empty());
+    view.removeWorker(40, "w");
+    view.forgetWorkers(50);
+    report.startedAtMs = 2'000;
+    view.addWorker(60, report);
+    cr_assert_eq(view.restarted.at("w"), 60);
+    view.removeWorker(70, "w");
+    view.forgetWorkers(1'000'000);
+    cr_assert(view.restarted.empty() && view.startedAt.empty());
+}
+
 // Guards against work that waits for the lease of a worker that never got it: a start that was sent to a
 // worker that had ended while it was idle could only be taken back by a stop, which nobody answered.
 Test(pool, nothing_is_started_on_an_idle_worker_that_doesnt_answer)
