Jobs keep their maximum of attempts when their queue is removed

Cause: the maximum was looked up in the newest rules when a run failed; without a rule there was none, and none was looked at before a start. Change: it is part of the job's specification, recorded with it, and follows the newest rules while they name the queue. It is compared before each start too, so that it also holds after a rule that was lowered or has come back, and after an owner that ended between the record of a failed run and that of the failed job. Evidence: pool/a_job_of_a_removed_queue_keeps_its_maximum_of_attempts and a_maximum_of_attempts_counts_before_each_start fail without the maximum (compared as before, without a rule). Ruled out: lost ends.

--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -97,6 +97,9 @@
         || spec.startAtMs < 0 || spec.startAtMs > kMaxWallMs) {
         return badJob("the schedule is out of range");
     }
+    if (spec.maxAttempts < 0) {
+        return badJob("the maximum of attempts is negative");
+    }
     return absl::OkStatus();
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -70,6 +70,8 @@
     TimeMs                intervalMs = 0;  // From one occurrence to the next.
     // Version of the rules that the job was accepted under. 0: not recorded.
     std::int64_t          rulesVersion = 0;
+    // Of its queue, as last known: counts on if the queue is removed. 0: not recorded, so no maximum.
+    std::int64_t          maxAttempts = 0;
 };
 
 constexpr std::int64_t kMaxTasksPerStep = 10'000;
--- a/src/jobs/jobs_wire.h
+++ b/src/jobs/jobs_wire.h
@@ -17,7 +17,7 @@
                      v.isGang, v.isSameRack, v.isSpeculative, v.isUnbounded, v.isFiller,
                      v.isCheckpointing)
     PERIDOTWALK_WIRE(JobSpec, v.id, v.queue, v.pool, v.tenant, v.payload, v.steps, v.occurrences,
-                     v.startAtMs, v.intervalMs, v.rulesVersion)
+                     v.startAtMs, v.intervalMs, v.rulesVersion, v.maxAttempts)
 
     } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE
--- a/src/node/caller_task.cpp
+++ b/src/node/caller_task.cpp
@@ -173,6 +173,7 @@
     spec->pool = queue.pool;
     spec->tenant = tenant == nullptr ? std::string() : tenant->name;
     spec->rulesVersion = directory_.view().catalog.version();
+    spec->maxAttempts = queue.maxAttempts;
     const auto size = checkSize(*spec, settings_.pool.maxRecordBytes);
     if (!size.ok()) {
         logEvent(LogLevel::Info, "job.invalid",
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -39,20 +39,6 @@
     return text;
 }
 
-auto hasAttemptsLeft(const JobEntry &entry, const TaskRef &ref, std::int64_t maxAttempts) -> bool
-{
-    const auto &tasks =
-        entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)];
-    const auto &step = stepOf(entry, ref);
-    if (step.isUnbounded) {
-        return true;
-    }
-    // A gang fails as a whole, but each failed run is counted at one member only.
-    const auto failures =
-        step.isGang ? countFailures(tasks) : tasks[static_cast<std::size_t>(ref.index)].failures;
-    return failures < maxAttempts;
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -73,6 +59,30 @@
     return entry.job.spec.steps[static_cast<std::size_t>(ref.step)];
 }
 
+auto hasAttemptsLeft(const JobEntry &entry, const TaskRef &ref) -> bool
+{
+    const auto &tasks =
+        entry.job.occurrences.at(ref.occurrence).steps[static_cast<std::size_t>(ref.step)];
+    const auto &step = stepOf(entry, ref);
+    if (step.isUnbounded || entry.job.spec.maxAttempts == 0) {
+        return true;
+    }
+    // A gang fails as a whole, but each failed run is counted at one member only.
+    const auto failures =
+        step.isGang ? countFailures(tasks) : tasks[static_cast<std::size_t>(ref.index)].failures;
+    return failures < entry.job.spec.maxAttempts;
+}
+
+// Keeps what the rules say of the job's queue, for when they don't any more. Those that it was accepted under may be
+// newer than what this node has read.
+auto PoolScheduler::State::applyRules(JobEntry &entry) const -> void
+{
+    const auto *queue = queueOf(entry);
+    if (queue != nullptr && entry.job.spec.rulesVersion <= view_.catalog.version()) {
+        entry.job.spec.maxAttempts = queue->maxAttempts;
+    }
+}
+
 auto PoolScheduler::State::queueOf(const JobEntry &entry) const -> const QueueRule *
 {
     return view_.catalog.queue(entry.job.spec.queue);
@@ -136,6 +146,7 @@
     auto      &entry = jobs_[id];
     entry.job.spec = std::move(spec);
     entry.job.acceptedAtMs = now.wallMs;
+    applyRules(entry);
     active_[id] = &entry;
     submitted_.insert(id);
     afterAppend(AnswerEffect{handle, JobVerdict::Accepted});
@@ -280,9 +291,7 @@
             worker.backoffUntil = now.steadyMs + settings_.workerBackoffMs;
         }
     }
-    const auto *queue = queueOf(entry);
-    if (!entry.job.isOver() && queue != nullptr && end == RunEnd::Failed
-        && !hasAttemptsLeft(entry, ref, queue->maxAttempts)) {
+    if (!entry.job.isOver() && end == RunEnd::Failed && !hasAttemptsLeft(entry, ref)) {
         finishJob(now, entry, JobState::Failed);
         return;
     }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -420,6 +420,11 @@
         }
         const auto ref = TaskRef{entry.job.spec.id, step.occurrence, step.step,
                                  static_cast<std::int64_t>(index)};
+        if (tasks[index].failures > 0 && !hasAttemptsLeft(entry, ref)) {
+            finishJob(now, entry, JobState::Failed);
+            step.isPlaced = true;
+            return;
+        }
         if (!isBlocked && !isOwnerBusy() && isWithinAllowance(tenant, spec.need)) {
             auto *worker = isKnownUnplaceable(entry, ref) ? nullptr : chooseWorker(now, entry, ref);
             if (worker != nullptr) {
@@ -457,6 +462,11 @@
     if (step.isPlaced) {
         return;
     }
+    if (!hasAttemptsLeft(entry, {entry.job.spec.id, step.occurrence, step.step, 0})) {
+        finishJob(now, entry, JobState::Failed);
+        step.isPlaced = true;
+        return;
+    }
     if (isOwnerBusy()) {
         if (!isRefilling_) {
             addDemand(step, std::ssize(tasks));
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -232,6 +232,7 @@
         -> void;
     auto confirmOwnership(Moment now, std::int64_t handle) -> void;
     auto refuseUnrecorded(Moment now, std::int64_t handle) -> bool;
+    auto applyRules(JobEntry &entry) const -> void;
     auto endRun(Moment now, Worker &worker, const TaskRef &ref, std::int64_t run, RunEnd end,
                 const std::string &checkpoint) -> void;
     auto finishJob(Moment now, JobEntry &entry, JobState state) -> void;
@@ -325,6 +326,7 @@
     TimeMs                                       termUntil_ = 0;  // See setTerm().
     TimeMs                                       ownedSince_ = 0; // Time of restore().
     bool                                         isFenced_ = false;
+    std::int64_t                                 rulesVersion_ = -1; // Last one that jobs know of.
     bool                                         needsSchedule_ = false;
     TimeMs                                       scheduleAt_ = 0; // Earliest time of a round.
     std::int64_t                                 placementRounds_ = 0;
@@ -388,6 +390,9 @@
 
 auto stepOf(const JobEntry &entry, const TaskRef &ref) -> const StepSpec &;
 
+// Returns whether a task, or a gang, may be started once more after its failed runs.
+auto hasAttemptsLeft(const JobEntry &entry, const TaskRef &ref) -> bool;
+
 // Returns whether the step's tasks serve requests of users under a latency target.
 inline auto isServing(const StepSpec &step) -> bool
 {
--- a/src/pool/runs.cpp
+++ b/src/pool/runs.cpp
@@ -32,6 +32,12 @@
 
 auto PoolScheduler::State::onViewChanged(Moment now) -> void
 {
+    const auto version = view_.catalog.version();
+    if (std::exchange(rulesVersion_, version) != version) {
+        for (const auto &[id, entry] : active_) {
+            applyRules(*entry);
+        }
+    }
     for (auto &[id, worker] : workers_) {
         worker.isListed = false;
     }
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -129,6 +129,8 @@
 auto PoolWorld::submit(JobSpec spec) -> void
 {
     spec.rulesVersion = spec.rulesVersion > 0 ? spec.rulesVersion : view_.catalog.version();
+    const auto *queue = view_.catalog.queue(spec.queue);
+    spec.maxAttempts = queue == nullptr ? 0 : queue->maxAttempts;
     specs_[spec.id] = spec;
     handles_[++lastHandle_] = spec.id;
     owner_->submit(now_, lastHandle_, std::move(spec));
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -510,6 +510,74 @@
     expectNoViolations(world);
 }
 
+// Guards against tasks that start without end: a job whose queue was removed had no maximum of attempts. An owner that
+// takes over later has never read a rule of it.
+Test(pool, a_job_of_a_removed_queue_keeps_its_maximum_of_attempts)
+{
+    for (const auto takeovers : {0, 1, 2}) {
+        auto world = PoolWorld(3, {.lostAnswers = 5, .lostAppends = 10, .failingRuns = 100}, 3);
+        world.settings().maxConsecutiveFailures = 100; // No worker backs off.
+        world.takeOver();
+        for (auto number = 0; number < 6; ++number) {
+            world.submit(makeJob(fmt::format("job{}", number), {makeStep(2, 700)}));
+        }
+        world.run(300);
+        world.changeView([](FleetView &view) {
+            auto rules = view.catalog.rules();
+            ++rules.version;
+            rules.queues.clear();
+            view.catalog = Catalog(rules);
+        });
+        for (auto number = 0; number < takeovers; ++number) {
+            world.takeOver();
+            world.run(900);
+        }
+        world.run(15'000);
+        for (auto number = 0; number < 6; ++number) {
+            cr_assert(world.owner().jobState(fmt::format("job{}", number)) == JobState::Failed);
+        }
+        expectNoViolations(world);
+    }
+}
+
+// Guards against a start beyond the maximum of a rule that came back, or was lowered, after the attempts: the maximum
+// was compared when a run failed, and not before the next start.
+Test(pool, a_maximum_of_attempts_counts_before_each_start)
+{
+    for (const auto isGang : {false, true}) {
+        auto       world = PoolWorld(1, {.failingRuns = 100}, 2);
+        auto       rules = CatalogRules();
+        const auto setMaximum = [&](std::int64_t maxAttempts) {
+            world.changeView([&](FleetView &view) {
+                rules = view.catalog.rules();
+                ++rules.version;
+                rules.queues.front().maxAttempts = maxAttempts;
+                view.catalog = Catalog(rules);
+            });
+        };
+        setMaximum(3);
+        addTeam(world, 8'000);
+        const auto setAllowance = [&](std::int64_t cpu) {
+            world.applyDirection({1, {{"team", {cpu, 0, 0}}}, {}});
+        };
+        auto job = makeJob("a", {makeStep(2, 400)});
+        job.tenant = "team";
+        job.steps.front().isGang = isGang;
+        world.submit(job);
+        setAllowance(2'000);
+        world.run(300);
+        setAllowance(0); // No further attempt yet.
+        world.run(1'000);
+        cr_assert_eq(world.countStarts("a"), 2);
+        setMaximum(1);
+        setAllowance(2'000);
+        world.run(2'000);
+        cr_assert(world.owner().jobState("a") == JobState::Failed);
+        cr_assert_eq(world.countStarts("a"), 2);
+        expectNoViolations(world);
+    }
+}
+
 // A start order that stays unanswered has perhaps started nothing, so the job still waits for its callers.
 Test(pool, a_job_is_pending_until_a_worker_confirms_a_run)
 {
