Log why a job waits for newer rules

What an operator saw: nothing, while a job waited for rules that name its tenant. Change: task.waits says so, once a second and job. Measured: the tests of the pool pass. Ruled out: nothing.

--- a/src/pool/leases.cpp
+++ b/src/pool/leases.cpp
@@ -69,9 +69,11 @@
 auto PoolScheduler::State::earlierOwnersExpiry(const Worker &worker, TimeMs until) const -> TimeMs
 {
     const auto restarted = view_.restarted.find(worker.peer.id);
-    return restarted == view_.restarted.end() ? 0
-                                              : std::min(until, restarted->second + kLongestReachMs)
-            + withClockError(settings_.maxLeaseMs);
+    if (restarted == view_.restarted.end()) {
+        return 0;
+    }
+    return std::min(until, restarted->second + kLongestReachMs)
+        + withClockError(settings_.maxLeaseMs);
 }
 
 // Returns when the lease of a silent worker has expired for certain, on our steady clock.
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -153,6 +153,7 @@
     for (const auto &[id, entry] : active_) {
         const auto &job = entry->job;
         if (!isTenantKnown(job.spec)) {
+            explainUnknownTenant(now, *entry);
             continue;
         }
         for (std::int64_t number = 0; number < occurrenceCount(job.spec); ++number) {
@@ -637,6 +638,17 @@
             most.memoryMb));
 }
 
+auto PoolScheduler::State::explainUnknownTenant(Moment now, JobEntry &entry) -> void
+{
+    if (now.steadyMs >= entry.nextExplainAt) {
+        entry.nextExplainAt = now.steadyMs + kExplainIntervalMs;
+        const auto &spec = entry.job.spec;
+        logRunEvent("task.waits", {spec.id, 0, 0, 0}, 0, "",
+                    fmt::format("tenant {} of rules {}; these are {}", spec.tenant,
+                                spec.rulesVersion, view_.catalog.version()));
+    }
+}
+
 // Keeps timed tasks off the worker with the most free memory, where an unbounded task will fit soonest.
 // Small timed tasks would otherwise use each bit of capacity before there is enough.
 auto PoolScheduler::State::reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref)
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -295,6 +295,7 @@
                           const TaskRef &ref) const -> bool;
     auto        isKnownUnplaceable(const JobEntry &entry, const TaskRef &ref) const -> bool;
     auto        explainWait(Moment now, JobEntry &entry, const TaskRef &ref) -> void;
+    auto        explainUnknownTenant(Moment now, JobEntry &entry) -> void;
     auto        reserveWorker(Moment now, const JobEntry &entry, const TaskRef &ref) -> void;
     auto placeTask(Moment now, const ReadyStep &step, const TaskRef &ref, Worker &worker) -> void;
     auto isWithinAllowance(const std::string &tenant, const ResourceSet &need) const -> bool;
