The coordinator and owners pass the newest maxima on to each other

What callers would have seen: a tenant above its new maximum, or without one, while the coordinator or an owner can't read the newer rules that the other side has. Change: reports and directions name the version that their sender has read, and list the maxima while the other side's is older. Evidence: quota/a_coordinator_with_older_rules_goes_by_those_of_its_pools and pool/an_owner_with_older_rules_goes_by_those_of_the_coordinator; there is no run with real processes. Ruled out: holding grants back until all have the same rules (pools would idle through an outage).

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -33,6 +33,12 @@
     ResourceSet wanted;    // Needed by waiting tasks that are ready to start.
 };
 
+// What rules say of a tenant. Only where the receiver's rules are older.
+struct TenantMaximum {
+    std::string tenant;
+    ResourceSet maximum; // Component 0: no limit.
+};
+
 struct WorkerLoad {
     std::string  id;
     std::int64_t runs = 0;
@@ -61,6 +67,8 @@
     std::int64_t sequence = 0;      // Increases with each report of this owner.
     std::int64_t coordinator = 0;   // Token of the coordinator that directed it last. 0: none.
     bool         isDormant = false; // It has nothing to do and no queue. Names no workers.
+    std::int64_t rulesVersion = 0;  // Of the rules that the owner has read.
+    std::vector<TenantMaximum> maxima = {}; // By these, while the coordinator's rules are older.
 };
 
 struct TenantGrant {
@@ -69,11 +77,32 @@
 };
 
 struct PoolDirection {
-    std::int64_t             token = 0; // Fencing token of the coordinator.
-    std::vector<TenantGrant> grants;
-    std::vector<std::string> cordoned; // Ids of all workers that get no new runs.
+    std::int64_t               token = 0; // Fencing token of the coordinator.
+    std::vector<TenantGrant>   grants;
+    std::vector<std::string>   cordoned;         // Ids of all workers that get no new runs.
+    std::int64_t               rulesVersion = 0; // Of the rules that the coordinator has read.
+    std::vector<TenantMaximum> maxima = {};      // By these, while the owner's rules are older.
 };
 
+// Tenants' maxima by the newest rules known here: those that this node has read, or those that another node has told of
+// meanwhile.
+class NewestMaxima
+{
+public:
+    // Commands.
+    auto learn(std::int64_t version, std::span<const TenantMaximum> maxima) -> void;
+
+    // Queries.
+    auto find(const Catalog &catalog, std::string_view tenant) const -> std::optional<ResourceSet>;
+
+private:
+    std::int64_t                                    version_ = 0;
+    std::map<std::string, ResourceSet, std::less<>> maxima_;
+};
+
+// Returns the maxima of all tenants if the receiver's rules are older than these, else nothing.
+auto maximaFor(const Catalog &catalog, std::int64_t receiversVersion) -> std::vector<TenantMaximum>;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Order of reports
 //-----------------------------------------------------------------------------
@@ -122,6 +151,7 @@
 private:
     std::set<std::string>                                     pools_;
     std::map<std::string, std::map<std::string, ResourceSet>> held_; // By pool, then tenant.
+    NewestMaxima                                              maxima_;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/coordinator/quota.cpp
+++ b/src/coordinator/quota.cpp
@@ -24,6 +24,45 @@
 
 } // namespace
 
+//-----------------------------------------------------------------------------
+// [SECTION] Reports and directions
+//-----------------------------------------------------------------------------
+
+auto NewestMaxima::learn(std::int64_t version, std::span<const TenantMaximum> maxima) -> void
+{
+    if (version <= version_ || maxima.empty()) {
+        return;
+    }
+    version_ = version;
+    maxima_.clear();
+    for (const auto &row : maxima) {
+        maxima_[row.tenant] = row.maximum;
+    }
+}
+
+auto NewestMaxima::find(const Catalog &catalog, std::string_view tenant) const
+    -> std::optional<ResourceSet>
+{
+    if (version_ > catalog.version()) {
+        if (const auto found = maxima_.find(tenant); found != maxima_.end()) {
+            return found->second;
+        }
+    }
+    const auto *rule = catalog.tenant(tenant);
+    return rule == nullptr ? std::nullopt : std::optional(rule->maximum);
+}
+
+auto maximaFor(const Catalog &catalog, std::int64_t receiversVersion) -> std::vector<TenantMaximum>
+{
+    auto maxima = std::vector<TenantMaximum>();
+    if (receiversVersion < catalog.version()) {
+        for (const auto &rule : catalog.rules().tenants) {
+            maxima.push_back({rule.name, rule.maximum});
+        }
+    }
+    return maxima;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Order of reports
 //-----------------------------------------------------------------------------
@@ -60,6 +99,7 @@
 auto QuotaLedger::grant(const PoolReport &report, const Catalog &catalog)
     -> std::vector<TenantGrant>
 {
+    maxima_.learn(report.rulesVersion, report.maxima);
     auto &poolHeld = held_[report.pool];
     for (const auto &tenant : report.tenants) {
         poolHeld[tenant.tenant] = {
@@ -70,8 +110,8 @@
     const auto mayGrow = isComplete();
     auto       grants = std::vector<TenantGrant>();
     for (const auto &tenant : report.tenants) {
-        const auto *rule = catalog.tenant(tenant.tenant);
-        if (rule == nullptr) {
+        const auto maximum = maxima_.find(catalog, tenant.tenant);
+        if (!maximum) {
             continue;
         }
         auto others = ResourceSet{};
@@ -83,12 +123,12 @@
         }
         const auto &held = tenant.allowance;
         auto        amount = ResourceSet{};
-        amount.cpu = grantAmount(rule->maximum.cpu, others.cpu, held.cpu, tenant.used.cpu,
+        amount.cpu = grantAmount(maximum->cpu, others.cpu, held.cpu, tenant.used.cpu,
                                  tenant.wanted.cpu, mayGrow);
-        amount.memoryMb = grantAmount(rule->maximum.memoryMb, others.memoryMb, held.memoryMb,
+        amount.memoryMb = grantAmount(maximum->memoryMb, others.memoryMb, held.memoryMb,
                                       tenant.used.memoryMb, tenant.wanted.memoryMb, mayGrow);
         amount.accelerators =
-            grantAmount(rule->maximum.accelerators, others.accelerators, held.accelerators,
+            grantAmount(maximum->accelerators, others.accelerators, held.accelerators,
                         tenant.used.accelerators, tenant.wanted.accelerators, mayGrow);
         auto &counted = poolHeld[tenant.tenant];
         counted.cpu = std::max(counted.cpu, amount.cpu);
--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -117,7 +117,10 @@
     }
     const auto &catalog = directory_.view().catalog;
     tenure_->ledger.setPools(catalog.declaredPools());
-    auto direction = PoolDirection{tenure_->token, {}, {}};
+    auto direction = PoolDirection{};
+    direction.token = tenure_->token;
+    direction.rulesVersion = catalog.version();
+    direction.maxima = maximaFor(catalog, report.rulesVersion);
     if (tenure_->order.accept(report)) {
         if (!report.isDormant) {
             tenure_->planner.onReport(bootMs(), report);
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -15,13 +15,15 @@
     PERIDOTWALK_WIRE(PoolCall, v.verb, v.pool, v.job, v.queue, v.spec, v.scope, v.version)
     PERIDOTWALK_WIRE(PoolAnswer, v.status, v.state, v.count, v.reason, v.retryAfterMs,
                      v.earlierPools)
+    PERIDOTWALK_WIRE(TenantMaximum, v.tenant, v.maximum)
     PERIDOTWALK_WIRE(TenantReport, v.tenant, v.allowance, v.used, v.wanted)
     PERIDOTWALK_WIRE(WorkerLoad, v.id, v.runs, v.unboundedRuns, v.cpu, v.unboundedCpu, v.isCordoned,
                      v.isUsable, v.expiredCpu)
     PERIDOTWALK_WIRE(PoolReport, v.pool, v.token, v.tenants, v.workers, v.wanted, v.perWorker,
-                     v.wantedLate, v.ownerLimited, v.sequence, v.coordinator, v.isDormant)
+                     v.wantedLate, v.ownerLimited, v.sequence, v.coordinator, v.isDormant,
+                     v.rulesVersion, v.maxima)
     PERIDOTWALK_WIRE(TenantGrant, v.tenant, v.allowance)
-    PERIDOTWALK_WIRE(PoolDirection, v.token, v.grants, v.cordoned)
+    PERIDOTWALK_WIRE(PoolDirection, v.token, v.grants, v.cordoned, v.rulesVersion, v.maxima)
 
     } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE
--- a/src/pool/directions.cpp
+++ b/src/pool/directions.cpp
@@ -16,6 +16,8 @@
 
 auto PoolScheduler::State::applyDirection(Moment now, const PoolDirection &direction) -> void
 {
+    coordinatorsRules_ = direction.rulesVersion;
+    maxima_.learn(direction.rulesVersion, direction.maxima);
     for (const auto &grant : direction.grants) {
         auto &held = allowances_[grant.tenant];
         needsSchedule_ = needsSchedule_ || !(held == grant.allowance);
@@ -49,6 +51,8 @@
     auto report = PoolReport{};
     report.pool = identity_.pool;
     report.token = identity_.token;
+    report.rulesVersion = view_.catalog.version();
+    report.maxima = maximaFor(view_.catalog, coordinatorsRules_);
     report.wanted = wanted_;
     report.wantedLate = wantedLate_;
     if (areWorkersShort_) {
@@ -58,18 +62,25 @@
         report.ownerLimited = ownerLimited_;
         report.ownerLimited += ownerLimitedLate_;
     }
+    auto names = std::set<std::string>();
     for (const auto &rule : view_.catalog.rules().tenants) {
-        auto row = TenantReport{rule.name, {}, {}, {}};
-        if (const auto held = allowances_.find(rule.name); held != allowances_.end()) {
-            row.allowance = held->second;
-        }
-        if (const auto used = tenantUsed_.find(rule.name); used != tenantUsed_.end()) {
-            row.used = used->second;
-        }
-        if (const auto wanted = tenantWanted_.find(rule.name); wanted != tenantWanted_.end()) {
-            row.wanted = wanted->second;
-        }
-        report.tenants.push_back(std::move(row));
+        names.insert(rule.name);
+    }
+    // Of tenants that only newer rules name, too.
+    for (const auto &[tenant, wanted] : tenantWanted_) {
+        names.insert(tenant);
+    }
+    for (const auto &[tenant, used] : tenantUsed_) {
+        names.insert(tenant);
+    }
+    names.erase(""); // Queues that are open to all.
+    const auto amountOf = [](const auto &amounts, const std::string &tenant) {
+        const auto found = amounts.find(tenant);
+        return found == amounts.end() ? ResourceSet{} : found->second;
+    };
+    for (const auto &tenant : names) {
+        report.tenants.push_back({tenant, amountOf(allowances_, tenant),
+                                  amountOf(tenantUsed_, tenant), amountOf(tenantWanted_, tenant)});
     }
     report.workers.reserve(workerList_.size());
     for (const auto *listed : workerList_) {
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -218,7 +218,7 @@
 auto PoolScheduler::State::isTenantKnown(const JobSpec &spec) const -> bool
 {
     return spec.tenant.empty() || spec.rulesVersion <= view_.catalog.version()
-        || view_.catalog.tenant(spec.tenant) != nullptr;
+        || maxima_.find(view_.catalog, spec.tenant).has_value();
 }
 
 // A round ranks all ready steps and places what it can. Rounds are spaced by their cost, which grows with the
@@ -324,8 +324,8 @@
                                                 std::int64_t       tasks,
                                                 const ResourceSet &planned) const -> std::int64_t
 {
-    const auto *rule = view_.catalog.tenant(tenant);
-    if (rule == nullptr) {
+    const auto maximum = maxima_.find(view_.catalog, tenant);
+    if (!maximum) {
         return tasks; // A queue that is open to all has no tenant.
     }
     const auto find = [&](const std::map<std::string, ResourceSet> &amounts) {
@@ -334,13 +334,13 @@
     };
     // The allowance may be of a time when the maximum was higher.
     auto remaining = find(allowances_);
-    remaining.cpu = std::min(remaining.cpu, rule->maximum.cpu);
-    remaining.memoryMb = std::min(remaining.memoryMb, rule->maximum.memoryMb);
-    remaining.accelerators = std::min(remaining.accelerators, rule->maximum.accelerators);
+    remaining.cpu = std::min(remaining.cpu, maximum->cpu);
+    remaining.memoryMb = std::min(remaining.memoryMb, maximum->memoryMb);
+    remaining.accelerators = std::min(remaining.accelerators, maximum->accelerators);
     remaining -= find(tenantUsed_);
     remaining -= planned;
-    const auto within = [&](std::int64_t maximum, std::int64_t left, std::int64_t each) {
-        if (maximum == 0) {
+    const auto within = [&](std::int64_t most, std::int64_t left, std::int64_t each) {
+        if (most == 0) {
             return tasks;
         }
         if (left < 0) {
@@ -348,10 +348,9 @@
         }
         return each == 0 ? tasks : std::min(tasks, left / each);
     };
-    return std::min(
-        {within(rule->maximum.cpu, remaining.cpu, need.cpu),
-         within(rule->maximum.memoryMb, remaining.memoryMb, need.memoryMb),
-         within(rule->maximum.accelerators, remaining.accelerators, need.accelerators)});
+    return std::min({within(maximum->cpu, remaining.cpu, need.cpu),
+                     within(maximum->memoryMb, remaining.memoryMb, need.memoryMb),
+                     within(maximum->accelerators, remaining.accelerators, need.accelerators)});
 }
 
 auto PoolScheduler::State::isWithinAllowance(const std::string &tenant,
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -353,10 +353,12 @@
     std::map<std::string, ResourceSet> tenantWanted_;  // Needs of ready tasks that wait.
     std::map<std::string, ResourceSet> tenantCovered_; // Part that the allowance covers.
     std::map<std::string, ResourceSet> allowances_;    // By tenant. Missing: zero.
-    std::map<std::string, TimeMs>      cordoned_;      // Start of the cordon, by worker.
+    NewestMaxima                       maxima_;        // Of tenants.
+    std::int64_t coordinatorsRules_ = 0;     // Version that the coordinator had read. 0: none yet.
+    std::map<std::string, TimeMs> cordoned_; // Start of the cordon, by worker.
     // Needs of tasks that lack only a worker, by how their jobs stand against their objectives.
-    ResourceSet                        wanted_;     // On time, and unbounded ones.
-    ResourceSet                        wantedLate_; // Late, but still of use.
+    ResourceSet                   wanted_;     // On time, and unbounded ones.
+    ResourceSet                   wantedLate_; // Late, but still of use.
     ResourceSet ownerLimited_;            // On time, and unbounded ones, that wait for the owner.
     ResourceSet ownerLimitedLate_;        // Late, but still of use, that wait for the owner.
     bool        areWorkersShort_ = false; // The last round left too little capacity for those.
--- a/tests/unit/test_coordinator.cpp
+++ b/tests/unit/test_coordinator.cpp
@@ -295,6 +295,36 @@
     }
 }
 
+// Guards against grants by an old maximum while the coordinator can't read newer rules, which the pools' owners have.
+Test(quota, a_coordinator_with_older_rules_goes_by_those_of_its_pools)
+{
+    const auto older = makeCatalog(16'000);
+    auto       granter = Granter(1);
+    auto       p = FakeOwner{.coordinator = 1};
+    auto       q = FakeOwner{.coordinator = 1};
+    granter.handle(p.makeReport("p", 0), older);
+    granter.handle(q.makeReport("q", 0), older);
+    auto report = p.makeReport("p", 10'000);
+    report.rulesVersion = older.version() + 1;
+    report.maxima = {{"team", {4'000, 0, 0}}, {"added", {2'000, 0, 0}}};
+    report.tenants.push_back({"added", {}, {}, {9'000, 0, 0}});
+    const auto grants = granter.handle(report, older);
+    cr_assert_eq(grants.size(), 2U);
+    const auto granted = grants.front().allowance.cpu;
+    cr_assert(granted > 0 && granted <= 4'000);
+    cr_assert_eq(grants.back().allowance.cpu, 2'000, "of a tenant that only they name");
+    // An owner whose rules are old too gets no more than the rest.
+    const auto rest = granter.handle(q.makeReport("q", 10'000), older).front().allowance.cpu;
+    cr_assert_leq(granted + rest, 4'000);
+    // Its own rules count again once they are as new.
+    auto rules = older.rules();
+    rules.version += 2;
+    rules.tenants.front().maximum.cpu = 8'000;
+    const auto more =
+        granter.handle(q.makeReport("q", 10'000), Catalog(rules)).front().allowance.cpu;
+    cr_assert(more > rest && granted + more <= 8'000);
+}
+
 // Guards against a maximum that is granted twice: the report of an owner that was frozen and replaced took the place of
 // the present owner's.
 Test(quota, the_report_of_a_former_owner_doesnt_count)
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -578,6 +578,43 @@
     }
 }
 
+// Guards against starts by an old maximum, or without one, under an owner that can't read newer rules, which the
+// coordinator has: its directions name the maxima until the owner has read them.
+Test(pool, an_owner_with_older_rules_goes_by_those_of_the_coordinator)
+{
+    auto world = PoolWorld(1, {}, 3);
+    addTeam(world, 0); // No limit, by the rules that this node has.
+    auto direction = PoolDirection{1, {{"team", {3'000, 0, 0}}, {"added", {2'000, 0, 0}}}, {}};
+    direction.rulesVersion = 2;
+    direction.maxima = {{"team", {3'000, 0, 0}}, {"added", {2'000, 0, 0}}};
+    world.applyDirection(direction);
+    for (const auto *tenant : {"team", "added"}) {
+        auto job = makeJob(tenant, {makeStep(6, 800)});
+        job.tenant = tenant;
+        job.rulesVersion = 2;
+        world.submit(job);
+    }
+    world.run(400);
+    cr_assert_eq(world.countStarts("team"), 3);
+    cr_assert_eq(world.countStarts("added"), 2);
+    cr_assert(world.owner().report().maxima.empty());
+    world.changeView([](FleetView &view) {
+        auto rules = view.catalog.rules();
+        rules.version = 3;
+        rules.tenants.push_back({"added", {"key2"}, 1, {2'000, 0, 0}});
+        view.catalog = Catalog(rules); // No limit of the team again.
+    });
+    const auto report = world.owner().report();
+    cr_assert_eq(report.rulesVersion, 3);
+    cr_assert_eq(report.maxima.size(), 2U, "the coordinator doesn't have these yet");
+    world.run(200);
+    cr_assert_eq(world.countStarts("team"), 6);
+    cr_assert_eq(world.countStarts("added"), 2);
+    world.run(4'000);
+    cr_assert(world.owner().jobState("added") == JobState::Completed);
+    expectNoViolations(world);
+}
+
 // A start order that stays unanswered has perhaps started nothing, so the job still waits for its callers.
 Test(pool, a_job_is_pending_until_a_worker_confirms_a_run)
 {
