Nodes join once they have read that there are no rules yet

What callers would have seen: nodes that start before the first rules all joined when those came, and pools changed hands while work began. Cause: since a node waited for rules, also if there are none. Change: a node waits only until it has read the operators' entries; if there are no rules among them, nobody has any. Evidence: node/a_node_joins_before_there_are_any_rules.

--- a/src/node/directory_task.cpp
+++ b/src/node/directory_task.cpp
@@ -43,7 +43,11 @@
                                      {{"source", "operators"}, {"offset", page->next}});
                         }
                         operatorsAt_ = page->next;
+                        const auto isFirst = !std::exchange(hasOperators_, true);
                         apply(DirectorySource::Operators, *page);
+                        if (isFirst && page->changes.empty()) {
+                            changed.emit();
+                        }
                         readOperators();
                     });
 }
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -114,6 +114,8 @@
     auto setMember(bool isMember) -> void; // Workers' reports are read only by members.
     auto view() const -> const FleetView & { return view_; }
     auto hasCatalog() const -> bool { return view_.catalog.version() > 0; }
+    // The operators' entries were read at least once, all of them. There may be no rules yet.
+    auto hasOperators() const -> bool { return hasOperators_; }
     auto hasWorkers() const -> bool { return hasWorkers_; }
 
     sigc::signal<void()> changed;
@@ -127,9 +129,10 @@
     Directory          &directory_;
     const NodeSettings &settings_;
     FleetView           view_;
-    Offset              operatorsAt_ = -1;   // Offset of the next read. -1: reads all entries.
-    Offset              workersAt_ = -1;     // Offset of the next read. -1: reads all entries.
-    bool                hasWorkers_ = false; // The workers' reports were read at least once.
+    Offset              operatorsAt_ = -1;     // Offset of the next read. -1: reads all entries.
+    Offset              workersAt_ = -1;       // Offset of the next read. -1: reads all entries.
+    bool                hasOperators_ = false; // See hasOperators().
+    bool                hasWorkers_ = false;   // The workers' reports were read at least once.
     bool                isOwner_ = false;
     bool                isMember_ = false;
     bool                isReadingWorkers_ = false;
@@ -142,7 +145,7 @@
 //-----------------------------------------------------------------------------
 
 // Renews this node's membership, and tracks the owner of each partition. Joins only once the node has read the
-// operators' rules: until then the partitions are better off with nodes that have.
+// operators' rules, or that there are none yet: until then the partitions are better off with nodes that have.
 //
 // A node with a small share of a processor is a reserve: it polls the owners, joins only while partitions
 // have none, and leaves once a regular node is an owner. The store can't do this, as it assigns
@@ -154,7 +157,7 @@
                   std::string member);
 
     auto start() -> void;
-    auto allowJoin() -> void;     // The node has read the rules.
+    auto allowJoin() -> void;     // The node has read the rules, if there are any.
     auto beginLeave() -> void;    // Stops renewals.
     auto leave() -> void;         // To be called once the pools are handed over.
     auto refreshOwners() -> void; // Reads the owners, unless that was just done.
--- a/src/node/pools_task.cpp
+++ b/src/node/pools_task.cpp
@@ -21,7 +21,7 @@
       timer_(std::make_unique<Timer>(loop, settings.tickMs, [this] { tick(); }))
 {
     directory.changed.connect([this] {
-        if (directory_.hasCatalog()) {
+        if (directory_.hasOperators()) {
             ownership_.allowJoin();
         }
         refresh();
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -93,7 +93,7 @@
         page.next = 1;
         page.isComplete = from < 0;
         page.isCurrent = true;
-        if (source == DirectorySource::Operators) {
+        if (source == DirectorySource::Operators && rules.version > 0) {
             page.changes.emplace_back(CatalogChanged{rules});
         }
         loop_.post([slot, page] { slot(page); }, from < 0 ? 0 : 50);
@@ -442,6 +442,18 @@
     }
 }
 
+// Guards against nodes that all join, and move their pools, when the first rules come and work begins.
+Test(node, a_node_joins_before_there_are_any_rules)
+{
+    auto node = NodeFixture("n@127.0.0.1:1#1", true);
+    node.store.rules.version = 0;
+    node.store.areRulesUnreadable = false;
+    cr_assert(node.runUntil([&] { return node.store.joins > 0; }));
+    cr_assert(node.pools.pools().empty());
+    node.store.rules.version = 1;
+    cr_assert(node.awaitOwner(5));
+}
+
 Test(node, a_reserve_joins_only_while_partitions_have_no_owner)
 {
     auto node = NodeFixture("n@127.0.0.1:1#1~reserve");
