A pool's second report to a new coordinator follows the first answer at once

Cause: since the first report to a new coordinator doesn't count, and the second one came an interval later. Owners beside the coordinator came sooner than others, and the planner divided the machines between the pools that it knew. Change: an owner that gets its first direction from a coordinator reports again at once.

--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -372,6 +372,10 @@
         settled_[report.pool] = {coordinator, bootMs() + kDormantReportMs};
     }
     found->second->applyDirection(direction);
+    if (report.coordinator
+        != direction.token) { // The next report counts, and its coordinator waits for it.
+        reportPool(report.pool, *found->second);
+    }
 }
 
 } // namespace peridotwalk
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -469,8 +469,9 @@
     ReporterTask(EventLoop &loop, ConnectionPool &peers, const NodeSettings &settings,
                  PoolsTask &pools, CoordinatorTask &coordinator, OwnershipTask &ownership);
 
+    auto report() -> void; // Reports on all pools for which that is due.
+
 private:
-    auto report() -> void;
     // The coordinator, by its member's name, knows the last report on a pool.
     struct Settled {
         std::string coordinator;
--- a/tests/unit/test_node.cpp
+++ b/tests/unit/test_node.cpp
@@ -797,6 +797,23 @@
     cr_assert(isGranted(fixture.makeReport(7, 3)));
 }
 
+// Guards against a new coordinator that plans with the reports of some pools only: the second report, which counts,
+// follows the first answer at once.
+Test(node, a_new_coordinator_has_a_report_that_counts_after_one_interval)
+{
+    auto fixture = CoordinatorFixture();
+    fixture.settings.reportIntervalMs = 60'000;
+    auto  reporter = ReporterTask(fixture.loop, fixture.peers, fixture.settings, fixture.pools,
+                                  fixture.coordinator, fixture.ownership);
+    auto &pool = *fixture.pools.pools().at("pool");
+    reporter.report();
+    auto late = pool.makeReport();
+    cr_assert_eq(late.coordinator, 5);
+    cr_assert_eq(late.sequence, 3);
+    late.sequence = 2;
+    cr_assert(fixture.coordinator.handle(late)->grants.empty(), "that one has counted");
+}
+
 // Guards against the report of an owner that was frozen beyond its term, sent before it learns of its successor.
 Test(node, an_owner_out_of_its_term_reports_nothing)
 {
