--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -18,6 +18,9 @@
 {
     workers[report.id] = report;
     removed.erase(report.id);
+    if (report.startedAtMs == 0) {
+        return; // Not reported.
+    }
     const auto [start, isNew] = startedAt.try_emplace(report.id, report.startedAtMs);
     if (!isNew && std::exchange(start->second, report.startedAtMs) != report.startedAtMs) {
         restarted[report.id] = now;
--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -1128,6 +1128,8 @@
     view.addWorker(10, report);
     view.removeWorker(20, "w");
     view.addWorker(30, report); // Its entry had expired while the store was down.
+    report.startedAtMs = 0;     // Not reported.
+    view.addWorker(35, report);
     cr_assert(view.restarted.empty());
     view.removeWorker(40, "w");
     view.forgetWorkers(50);
