The term is checked before each report, also before the second one to a new coordinator

Found by reading the change. Cause: the conditions stood in the loop of the interval only. Change: they stand where a report is made. Evidence: node/an_owner_out_of_its_term_reports_nothing covers the place that both paths share. Ruled out: nothing.

--- a/src/node/coordinator_task.cpp
+++ b/src/node/coordinator_task.cpp
@@ -262,8 +262,7 @@
 auto ReporterTask::report() -> void
 {
     for (auto &[name, pool] : pools_.pools()) {
-        if (pool->isReady() && pool->isInTerm() && !pool->isFenced()
-            && !pendingReports_.contains(name) && isReportDue(name, *pool)) {
+        if (isReportDue(name, *pool)) {
             reportPool(name, *pool);
         }
     }
@@ -282,6 +281,9 @@
 // term may have been replaced, and sends none.
 auto ReporterTask::reportPool(const std::string &name, PoolTask &pool) -> void
 {
+    if (!pool.isReady() || !pool.isInTerm() || pool.isFenced() || pendingReports_.contains(name)) {
+        return;
+    }
     const auto report = pool.makeReport();
     if (!report.isDormant && bootMs() >= nextStatusAt_[name]) {
         nextStatusAt_[name] = bootMs() + kStatusIntervalMs;
