Test of the length of leases under an owner that doesn't know of a restart

The mutation "leases sent are never longer than the usual one" made no test fail: owners that have seen the restart in the entries waited for it anyway. The new test fails under it. No product code changed.

--- a/tests/unit/test_pool.cpp
+++ b/tests/unit/test_pool.cpp
@@ -1067,6 +1067,31 @@
     }
 }
 
+// Guards against the same under an owner whose node has started since, and so doesn't know of the restart.
+Test(pool, a_task_that_began_after_a_restart_runs_alone_under_an_owner_that_started_since)
+{
+    for (const auto restartedMs : {2'000, 4'000, 12'000}) {
+        auto world = PoolWorld(1, {}, 2);
+        addLabel(world, "w0");
+        world.run(4'000);
+        world.submit(makeJob("short", {makeStep(8, 200)}));
+        world.run(1'000);
+        world.restart("w0");
+        world.run(restartedMs);
+        world.submit(makeLabelledJob());
+        world.run(500);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w0");
+        addLabel(world, "w1");
+        world.changeView([](FleetView &view) { view.restarted.clear(); });
+        world.takeOver();
+        world.run(700);
+        world.isolate("w0");
+        world.run(14'000);
+        cr_assert_eq(world.findWorker(firstTask("a")), "w1");
+        expectNoViolations(world);
+    }
+}
+
 // Guards against the same where the new owner never reaches the worker, and learns of its restart from its entry.
 Test(pool, a_worker_that_restarted_and_never_answers_the_next_owner_runs_its_tasks_alone)
 {
