review: stand-ins of cases 11 to 15 keep their ports

A runner that is down goes on to listen, as another socket could take its port: one run of case 12 couldn't start for that. Entries may come later than the start, which case 15 uses.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+exec env PYTHONDONTWRITEBYTECODE=1 python3 "$(dirname "$0")/case.py"
--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -191,22 +191,23 @@
 class Runner:
     """A runner under one id. restart() is a crash and a new boot under the same id, which knows nothing of before."""
 
-    def __init__(self, deployment, number, rack="r1-1", service="pool"):
+    def __init__(self, deployment, number, rack="r1-1", service="pool", kind="a"):
         self.deployment, self.id = deployment, f"i-{random.getrandbits(32):08x}"
         self.name, self.machine, self.zone = f"runner {number}", f"m-{number}", f"zone-{'abc'[number % 3]}"
-        self.service, self.rack, self.capacity = service, rack, {"cpu": 64000, "memMb": 262144, "gpu": 0}
+        self.service, self.kind, self.rack = service, kind, rack
+        self.capacity = {"cpu": 64000, "memMb": 262144, "gpu": 0}
         self.port, self.server, self.channels, self.beats = 0, None, None, None
         self.is_up = False
         self.is_draining = False
         self.on_order = None  # async (runner, name, body): may return "no answer", and the call isn't carried out then.
 
-    async def start(self):
+    async def start(self, entry_after_s=0.0):
         self.boot()
-        self.server, self.port = await serve(self.handle, port=self.port)
-        if self.channels is None:
+        if self.server is None:  # It goes on to listen while it is down, as its port could be taken otherwise.
+            self.server, self.port = await serve(self.handle)
             self.channels = Channels(self.port)
             await self.channels.start()
-        self.beats = asyncio.ensure_future(self.beat())
+        self.beats = asyncio.ensure_future(self.beat(entry_after_s))
         asyncio.ensure_future(self.work(self.boot_number))
 
     def boot(self):
@@ -220,7 +221,6 @@
         """The process ends: everything that it ran ends with it."""
         self.is_up = False
         self.beats.cancel()
-        self.server.close()
         for task in list(self.running):
             self.running.pop(task)
             self.deployment.on_end(self, task, "crash")
@@ -231,14 +231,15 @@
         """The steady clock. The first boot has been up for some minutes."""
         return int((time.monotonic() - self.booted) * 1000) + (480_000 if self.boot_number == 1 else 1_000)
 
-    async def beat(self):
+    async def beat(self, entry_after_s):
         sequence = 0
+        await asyncio.sleep(entry_after_s)
         while True:
             sequence += 1
             self.deployment.store.put("keyed.servers", self.id, {
                 "service": self.service, "address": f"127.0.0.1:{self.channels.port}", "zone": self.zone,
                 "state": "draining" if self.is_draining else "ready", "version": "v1", "slots": 8, "seq": sequence, "born": self.born_ms, "capacity": self.capacity,
-                "labels": ["a", self.rack], "machine": self.machine, "coldRemainingMs": 0})
+                "labels": [self.kind, self.rack], "machine": self.machine, "coldRemainingMs": 0})
             await asyncio.sleep(HEARTBEAT_S)
 
     async def work(self, boot):
@@ -261,6 +262,8 @@
         self.deployment.on_end(self, task, how, run["run"])
 
     async def handle(self, request):
+        if not self.is_up:
+            raise ConnectionError
         boot = self.boot_number
         body, name = request.json(), request.path.rsplit("/", 1)[-1]
         verdict = self.on_order and await self.on_order(self, name, body)
@@ -452,7 +455,7 @@
         if request.path.endswith("/machines"):
             return 200, {"machines": [
                 {"machine": runner.machine, "pool": runner.service, "state": "up" if runner.is_up else "down",
-                 "zone": runner.zone, "labels": ["a", runner.rack], "capacity": runner.capacity, "id": runner.id}
+                 "zone": runner.zone, "labels": [runner.kind, runner.rack], "capacity": runner.capacity, "id": runner.id}
                 for runner in self.runners], "nextToken": None}
         if request.path.endswith("/machine-move"):
             return self.move(request.json())
